--- /dev/null
+++ b/acacialine/__main__.py
@@ -0,0 +1,130 @@
+"""The command line. Modules of a command are imported when it runs."""
+
+import sys
+
+import click
+
+from acacialine import errors
+
+
+@click.group()
+@click.version_option(package_name="acacialine")
+def cli() -> None:
+    """A dispatcher for sub-second tasks."""
+
+
+@cli.command()
+@click.option(
+    "-c",
+    "--config",
+    "path",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help="Settings file (INI).",
+)
+def entry(path: str) -> None:
+    """Runs an entry daemon."""
+    import trio
+
+    from acacialine import entry as entry_lib
+    from acacialine import log
+    from acacialine import settings
+
+    log.set_up()
+    daemon = entry_lib.new_entry(settings.read_settings_file(path))
+    trio.run(entry_lib.run_until_signal, daemon)
+
+
+@cli.command()
+@click.option("--serve", is_flag=True, help="Keep running for own requests.")
+def demo(serve: bool) -> None:
+    """Runs an installation in one process and submits a job."""
+    from acacialine.tools import demo as demo_tool
+
+    demo_tool.main(serve)
+
+
+@cli.group()
+def standin() -> None:
+    """Runs stand-ins of the outside systems."""
+
+
+def _serve_forever(app, address: tuple[str, int], idle_s: float) -> None:
+    import trio
+
+    from acacialine.tools import http
+
+    trio.run(http.new_server(app, address, idle_s))
+
+
+def _address(_context, _parameter, value: str) -> tuple[str, int]:
+    from acacialine import ini
+
+    try:
+        return ini.address(value)
+    except ValueError as error:
+        raise click.BadParameter(str(error)) from error
+
+
+@standin.command("platform")
+@click.option("--address", default="127.0.0.1:7000", callback=_address)
+@click.option("--retention-s", default=86400.0, show_default=True)
+@click.option(
+    "--vms",
+    type=click.File("rb"),
+    help="JSON file with the list of VMs to begin with.",
+)
+def standin_platform(address, retention_s, vms) -> None:
+    """Serves the append-only log and the VM list."""
+    import msgspec
+
+    from acacialine import platforms
+    from acacialine.tools import platform
+
+    state = platform.PlatformStandin(retention_s=retention_s)
+    if vms:
+        listed = msgspec.json.decode(vms.read(), type=platforms.VmList)
+        for vm in listed.vms:
+            state.set_vm(vm)
+    _serve_forever(platform.new_asgi_app(state), address, 30.0)
+
+
+@standin.command("backend")
+@click.option("--name", required=True)
+@click.option("--address", required=True, callback=_address)
+@click.option("--slots", default=8, show_default=True)
+@click.option("--journal", default="", help="File for the journal.")
+@click.option("--idle-s", default=30.0, help="Idle limit of connections.")
+@click.option("--platform", default="", help="Register at this URL.")
+@click.option("--zone", default="zone-a", show_default=True)
+def standin_backend(
+    name, address, slots, journal, idle_s, platform, zone
+) -> None:
+    """Runs tasks and writes a journal of every start."""
+    import httpcore
+    import msgspec
+
+    from acacialine import platforms
+    from acacialine.tools import backend
+
+    state = backend.BackendStandin(name, slots, journal)
+    if platform:
+        text = "{}:{}".format(*address)
+        vm = platforms.Vm(name, "backend", text, zone, slots=slots)
+        httpcore.request(
+            "PUT", f"{platform}/control/vms", content=msgspec.json.encode(vm)
+        )
+    _serve_forever(backend.new_asgi_app(state), address, idle_s)
+
+
+def main() -> None:
+    """Runs the command line; errors become messages and exit codes."""
+    try:
+        cli()
+    except errors.AcacialineError as error:
+        click.echo(str(error), err=True)
+        sys.exit(error.exit_status)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/acacialine/acacialine.capnp
@@ -0,0 +1,171 @@
+@0xb5d1c5a3e1f00d17;
+# Messages between entries. `messages.py` holds the same types for the code.
+
+struct HeldReport { broker @0 :Text; seq @1 :UInt64; backendId @2 :Text; }
+
+struct MemberReport {
+  incarnation @0 :Text;
+  name @1 :Text;
+  zone @2 :Text;
+  state @3 :Text;
+  configOffset @4 :Int64;
+  ageMs @5 :UInt32;
+  callerAddress @6 :Text;
+}
+
+struct BackendReport { backendId @0 :Text; leaving @1 :Bool; }
+
+struct TeamDemand { team @0 :Text; rate @1 :Float64; }
+
+struct Heartbeat {
+  sender @0 :Text;
+  name @1 :Text;
+  zone @2 :Text;
+  state @3 :Text;
+  beat @4 :UInt64;
+  sentAt @5 :Float64;
+  configOffset @6 :Int64;
+  successor @7 :Text;
+  callerAddress @8 :Text;
+  lastSeq @9 :UInt64;
+  slots @10 :UInt32;
+  free @11 :UInt32;
+  workS @12 :Float64;
+  waiting @13 :UInt32;
+  held @14 :List(HeldReport);
+  members @15 :List(MemberReport);
+  backends @16 :List(BackendReport);
+  demand @17 :List(TeamDemand);
+  heldSeqs @18 :List(UInt64);
+}
+
+struct AskEntry {
+  team @0 :Text;
+  kind @1 :Text;
+  isLong @2 :Bool;
+  count @3 :UInt32;
+  rank @4 :Float64;
+  leaseMs @5 :UInt32;
+}
+
+struct AskMessage {
+  sender @0 :Text;
+  sentAt @1 :Float64;
+  lastSeq @2 :UInt64;
+  entries @3 :List(AskEntry);
+}
+
+struct GrantEntry {
+  seq @0 :UInt64;
+  backendId @1 :Text;
+  team @2 :Text;
+  kind @3 :Text;
+  isLong @4 :Bool;
+  leaseMs @5 :UInt32;
+}
+
+struct GrantMessage {
+  sender @0 :Text;
+  askSentAt @1 :Float64;
+  waitedMs @2 :UInt32;
+  free @3 :UInt32;
+  entries @4 :List(GrantEntry);
+}
+
+struct ReleaseEntry {
+  seq @0 :UInt64;
+  reason @1 :UInt8;
+  runMs @2 :UInt32;
+  expectedMs @3 :UInt32;
+}
+
+struct ReleaseMessage { sender @0 :Text; entries @1 :List(ReleaseEntry); }
+
+struct LeavingMessage { sender @0 :Text; successor @1 :Text; }
+
+struct Header { name @0 :Text; value @1 :Text; }
+
+struct ForwardCall {
+  method @0 :Text;
+  path @1 :Text;
+  authorization @2 :Text;
+  headers @3 :List(Header);
+  body @4 :Data;
+}
+
+struct ForwardReply {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  body @2 :Data;
+}
+
+struct RelayCall {
+  sender @0 :Text;
+  seq @1 :UInt64;
+  backendId @2 :Text;
+  taskId @3 :Text;
+  kind @4 :Text;
+  deadlineMs @5 :UInt32;
+  leaseMs @6 :UInt32;
+  body @7 :Data;
+}
+
+struct RelayReply {
+  outcome @0 :Text;
+  status @1 :UInt16;
+  contentType @2 :Text;
+  reason @3 :Text;
+  body @4 :Data;
+}
+
+struct StopCall { backendId @0 :Text; taskId @1 :Text; }
+
+struct HandoverAnswer {
+  team @0 :Text;
+  submissionId @1 :Text;
+  digest @2 :Data;
+  status @3 :UInt16;
+  outcome @4 :Text;
+  code @5 :Text;
+  body @6 :Data;
+}
+
+struct HandoverTombstone {
+  key @0 :Data;
+  digest @1 :Data;
+  outcome @2 :Text;
+}
+
+struct HandoverCall {
+  coordinator @0 :Text;
+  answers @1 :List(HandoverAnswer);
+  tombstones @2 :List(HandoverTombstone);
+  isLast @3 :Bool;
+}
+
+struct ConfigCall { offset @0 :Int64; }
+
+struct ConfigReply { offset @0 :Int64; snapshot @1 :Data; }
+
+struct Acknowledged { }
+
+struct Frame {
+  requestId @0 :UInt64;
+  union {
+    none @1 :Void;
+    heartbeat @2 :Heartbeat;
+    askMessage @3 :AskMessage;
+    grantMessage @4 :GrantMessage;
+    releaseMessage @5 :ReleaseMessage;
+    leavingMessage @6 :LeavingMessage;
+    forwardCall @7 :ForwardCall;
+    forwardReply @8 :ForwardReply;
+    relayCall @9 :RelayCall;
+    relayReply @10 :RelayReply;
+    stopCall @11 :StopCall;
+    handoverCall @12 :HandoverCall;
+    configCall @13 :ConfigCall;
+    configReply @14 :ConfigReply;
+    acknowledged @15 :Acknowledged;
+  }
+}
--- /dev/null
+++ b/acacialine/answers.py
@@ -0,0 +1,152 @@
+"""Bodies of answers and refusals."""
+
+import base64
+
+import attrs
+import msgspec
+
+from acacialine import errors
+from acacialine import tables as tables_lib
+
+JSON_TYPE = "application/json"
+
+
+@attrs.frozen
+class TaskResult:
+    """The result of one task in a complete answer."""
+
+    index: int
+    status: int
+    content_type: str
+    result: msgspec.Raw
+
+
+@attrs.frozen
+class CompleteBody:
+    """Body of a complete answer: the result of every task, in order."""
+
+    id: str
+    outcome: str
+    results: list[TaskResult]
+
+
+@attrs.frozen
+class ErrorBody:
+    """Body of every other answer.
+
+    Attributes:
+        started: Indexes of the tasks that started or may have started.
+        prefix: Id prefix to use with this coordinator, if one is needed.
+    """
+
+    code: str
+    outcome: str
+    message: str
+    started: list[int] = attrs.field(factory=list)
+    id: str = ""
+    prefix: str = ""
+    findings: list[str] = attrs.field(factory=list)
+    forwarded: bool = False
+
+
+def _result_of(answer: tables_lib.BackendAnswer) -> msgspec.Raw:
+    if not answer.body:
+        return msgspec.Raw(b"null")
+    if answer.content_type.startswith(JSON_TYPE):
+        try:
+            return msgspec.json.decode(answer.body, type=msgspec.Raw)
+        except msgspec.DecodeError:
+            pass
+    try:
+        text = answer.body.decode()
+    except UnicodeDecodeError:
+        text = base64.b64encode(answer.body).decode()
+    return msgspec.Raw(msgspec.json.encode(text))
+
+
+def complete(job: tables_lib.Job) -> tables_lib.JobAnswer:
+    """Builds the answer of a job whose every task succeeded."""
+    head = msgspec.json.encode(job.submission_id)
+    results = b",".join(task.result for task in job.tasks)
+    body = b'{"id":%b,"outcome":"complete","results":[%b]}' % (head, results)
+    return tables_lib.JobAnswer(
+        200, errors.Outcome.COMPLETE, errors.Code.OK, body
+    )
+
+
+def task_result(index: int, answer: tables_lib.BackendAnswer) -> bytes:
+    """Encodes the result of one task for the answer of its job."""
+    result = TaskResult(
+        index, answer.status, answer.content_type, _result_of(answer)
+    )
+    return msgspec.json.encode(result)
+
+
+def single_result(answer: tables_lib.JobAnswer) -> tuple[bytes, str]:
+    """Returns the result of a job of one task and its content type."""
+    body = msgspec.json.decode(answer.body, type=CompleteBody)
+    result = body.results[0]
+    if result.content_type.startswith(JSON_TYPE):
+        return bytes(result.result), result.content_type
+    text = msgspec.json.decode(result.result)
+    return (text or "").encode(), result.content_type
+
+
+def error(
+    status: int,
+    outcome: errors.Outcome,
+    code: errors.Code,
+    message: str,
+    *,
+    submission_id: str = "",
+    prefix: str = "",
+    started: list[int] | None = None,
+    findings: list[str] | None = None,
+    retry_after_s: float = 0.0,
+    forwarded: bool = False,
+) -> tables_lib.JobAnswer:
+    """Builds a failed, unknown or refused answer."""
+    body = ErrorBody(
+        code.value,
+        outcome.value,
+        message,
+        started or [],
+        submission_id,
+        prefix,
+        findings or [],
+        forwarded,
+    )
+    return tables_lib.JobAnswer(
+        status, outcome, code, msgspec.json.encode(body), retry_after_s
+    )
+
+
+def failed(
+    job: tables_lib.Job, code: errors.Code, message: str
+) -> tables_lib.JobAnswer:
+    """Builds the answer of a job that ended without all its results."""
+    started = [t.index for t in job.tasks if t.state in _MAY_HAVE_RUN]
+    outcome = errors.Outcome.FAILED
+    if not started and not job.starts:
+        outcome = errors.Outcome.NOT_RUN
+    status = 504 if code == errors.Code.DEADLINE else 502
+    if code == errors.Code.CANCELLED:
+        status = 409
+    return error(
+        status,
+        outcome,
+        code,
+        message,
+        submission_id=job.submission_id,
+        started=started,
+    )
+
+
+_MAY_HAVE_RUN = frozenset(
+    {
+        tables_lib.TaskState.STARTED,
+        tables_lib.TaskState.SUCCEEDED,
+        tables_lib.TaskState.FAILED,
+        tables_lib.TaskState.UNKNOWN,
+    }
+)
--- /dev/null
+++ b/acacialine/attempts.py
@@ -0,0 +1,291 @@
+"""The state machine of tasks: each starts at most once.
+
+An attempt is recorded before its first byte is sent. Only an attempt that
+surely did not start may be followed by another; any doubt fails the job.
+"""
+
+import heapq
+
+from acacialine import actions
+from acacialine import answers
+from acacialine import broker
+from acacialine import errors
+from acacialine import estimates
+from acacialine import events
+from acacialine import health
+from acacialine import messages
+from acacialine import queues
+from acacialine import submissions
+from acacialine import tables as tables_lib
+
+RETRY_BASE_S = 0.01
+RETRY_MAX_S = 1.0
+RETRY_WITHOUT_BUDGET_S = 0.5
+RETRY_TOKENS_MAX = 100.0
+MEAN_SMOOTHING = 0.02
+OVERDUE_S = 2.0
+OVERDUE_FACTOR = 4.0  # multiple of the expected run time
+DECISIONS_KEPT = 200  # per job
+
+
+def start(
+    tables: tables_lib.Tables,
+    task: tables_lib.Task,
+    grant: tables_lib.Grant,
+    now: float,
+) -> None:
+    """Records the start of a task under a grant and orders it."""
+    job = task.job
+    task.state = tables_lib.TaskState.STARTED
+    task.attempts += 1
+    task.started_at = now
+    task.grant = grant
+    grant.task = task
+    job.starts += 1
+    tables.starts_last_tick += 1
+    job.running[task.index] = task
+    tables.counters["starts"] += 1
+    _add_retry_tokens(tables)
+    tables.actions.append(actions.StartTask(task, grant, task.attempts))
+    how = _how(tables, grant)
+    note(job, f"task {task.index} placed on {grant.backend_id} ({how})")
+    actions.log_decision(
+        tables,
+        events.Event.TASK_PLACED,
+        task=task.task_id,
+        kind=task.group.kind,
+        backend=grant.backend_id,
+        how=how,
+        waited_ms=round((now - job.accepted_at) * 1000, 1),
+    )
+
+
+def note(job: tables_lib.Job, text: str) -> None:
+    """Adds a line to what `job explain` shows."""
+    if len(job.decisions) < DECISIONS_KEPT:
+        job.decisions.append(text)
+
+
+def _how(tables: tables_lib.Tables, grant: tables_lib.Grant) -> str:
+    if grant.broker == tables.my_id:
+        return "own"
+    return "relayed" if grant.relayed else "granted"
+
+
+def _add_retry_tokens(tables: tables_lib.Tables) -> None:
+    share = tables.settings.placement.retry_share
+    tokens = tables.retry_tokens + share
+    tables.retry_tokens = min(tokens, RETRY_TOKENS_MAX)
+
+
+def finish(
+    tables: tables_lib.Tables,
+    task: tables_lib.Task,
+    attempt: int,
+    outcome: tables_lib.AttemptOutcome,
+    answer: tables_lib.BackendAnswer | None,
+    reason: str,
+    now: float,
+) -> None:
+    """Takes in how an attempt ended; late reports change nothing."""
+    if task.attempts != attempt or task.grant is None:
+        return
+    _release(tables, task, outcome, answer, reason, now)
+    if task.state != tables_lib.TaskState.STARTED:
+        return
+    job = task.job
+    job.running.pop(task.index, None)
+    match outcome:
+        case tables_lib.AttemptOutcome.NOT_STARTED:
+            _not_started(tables, task, reason, now)
+        case tables_lib.AttemptOutcome.ANSWERED:
+            _answered(tables, task, answer, now)
+        case tables_lib.AttemptOutcome.UNKNOWN:
+            task.state = tables_lib.TaskState.UNKNOWN
+            message = f"task {task.index} may or may not have run: {reason}"
+            actions.log_event(
+                tables,
+                events.Event.TASK_UNKNOWN,
+                task=task.task_id,
+                reason=reason,
+            )
+            fail_job(tables, job, errors.Code.TASK_UNKNOWN, message, now)
+
+
+def _not_started(
+    tables: tables_lib.Tables, task: tables_lib.Task, reason: str, now: float
+) -> None:
+    job = task.job
+    job.starts -= 1
+    task.state = tables_lib.TaskState.WAITING
+    if tables.retry_tokens >= 1:
+        tables.retry_tokens -= 1
+        delay = min(RETRY_BASE_S * 2 ** (task.attempts - 1), RETRY_MAX_S)
+    else:
+        delay = RETRY_WITHOUT_BUDGET_S
+    task.not_before = now + delay * (0.5 + tables.random.random())
+    tables.counters["not_started"] += 1
+    note(job, f"task {task.index} not started: {reason}")
+    actions.log_decision(
+        tables,
+        events.Event.TASK_NOT_STARTED,
+        task=task.task_id,
+        reason=reason,
+        retry_in_s=delay,
+    )
+    queues.requeue(tables, task, now)
+
+
+def _answered(
+    tables: tables_lib.Tables,
+    task: tables_lib.Task,
+    answer: tables_lib.BackendAnswer,
+    now: float,
+) -> None:
+    job = task.job
+    if not 200 <= answer.status < 300:
+        task.state = tables_lib.TaskState.FAILED
+        message = f"task {task.index} failed with status {answer.status}"
+        fail_job(tables, job, errors.Code.TASK_FAILED, message, now)
+        return
+    task.state = tables_lib.TaskState.SUCCEEDED
+    task.result = answers.task_result(task.index, answer)
+    run_s = now - task.started_at
+    estimates.learn(tables, task.estimate_key, run_s, task.expected_s)
+    tables.mean_run_s += MEAN_SMOOTHING * (run_s - tables.mean_run_s)
+    _finish_work(tables, job, task.expected_s)
+    job.unfinished -= 1
+    if job.unfinished == 0:
+        _end_job(tables, job, answers.complete(job), now)
+
+
+def _finish_work(
+    tables: tables_lib.Tables, job: tables_lib.Job, work_s: float
+) -> None:
+    job.work_s -= work_s
+    tables.work_s -= work_s
+
+
+def _release(
+    tables: tables_lib.Tables,
+    task: tables_lib.Task,
+    outcome: tables_lib.AttemptOutcome,
+    answer: tables_lib.BackendAnswer | None,
+    reason: str,
+    now: float,
+) -> None:
+    grant = task.grant
+    task.grant = None
+    grant.task = None
+    run_s = now - task.started_at
+    why = _release_reason(task, outcome, answer, reason, run_s)
+    give_back(tables, grant, why, run_s, task.expected_s, now)
+
+
+def _release_reason(
+    task: tables_lib.Task,
+    outcome: tables_lib.AttemptOutcome,
+    answer: tables_lib.BackendAnswer | None,
+    reason: str,
+    run_s: float,
+) -> tables_lib.ReleaseReason:
+    if outcome == tables_lib.AttemptOutcome.NOT_STARTED:
+        if reason == "refused":
+            return tables_lib.ReleaseReason.REFUSED
+        if reason == "expired":
+            return tables_lib.ReleaseReason.UNUSED
+        return tables_lib.ReleaseReason.UNREACHABLE
+    if outcome == tables_lib.AttemptOutcome.UNKNOWN:
+        cancelled = task.state == tables_lib.TaskState.CANCELLED
+        overdue = run_s > OVERDUE_S + OVERDUE_FACTOR * task.expected_s
+        if cancelled and not overdue:
+            return tables_lib.ReleaseReason.UNKNOWN
+        return tables_lib.ReleaseReason.FAILED
+    if 200 <= answer.status < 300:
+        return tables_lib.ReleaseReason.SUCCEEDED
+    return tables_lib.ReleaseReason.FAILED
+
+
+def give_back(
+    tables: tables_lib.Tables,
+    grant: tables_lib.Grant,
+    reason: tables_lib.ReleaseReason,
+    run_s: float,
+    expected_s: float,
+    now: float,
+) -> None:
+    """Gives a slot back to its broker, which may be this entry."""
+    if grant.broker == tables.my_id:
+        backend = tables.backends.get(grant.backend_id)
+        if backend and broker.free(tables, backend, grant.seq):
+            health.report(tables, backend, reason, run_s, expected_s, now)
+        return
+    tables.grants.pop((grant.broker, grant.seq), None)
+    if grant.broker in tables.peers:
+        entry = messages.ReleaseEntry(
+            grant.seq,
+            int(reason),
+            int(run_s * 1000),
+            int(expected_s * 1000),
+        )
+        tables.releases.setdefault(grant.broker, []).append(entry)
+
+
+def fail_job(
+    tables: tables_lib.Tables,
+    job: tables_lib.Job,
+    code: errors.Code,
+    message: str,
+    now: float,
+) -> None:
+    """Ends a job as failed: stops what runs, never starts the rest."""
+    if job.answer is not None:
+        return
+    _end_job(tables, job, answers.failed(job, code, message), now)
+    for task in list(job.running.values()):
+        task.state = tables_lib.TaskState.CANCELLED
+        tables.actions.append(actions.StopTask(task, task.attempts))
+    job.running.clear()
+
+
+def _end_job(
+    tables: tables_lib.Tables,
+    job: tables_lib.Job,
+    answer: tables_lib.JobAnswer,
+    now: float,
+) -> None:
+    job.answer = answer
+    queues.drop_job(tables, job)
+    tables.work_s -= job.work_s
+    tables.queued_bytes -= job.body_bytes
+    tables.team_usage(job.team).queued_bytes -= job.body_bytes
+    tables.jobs.pop((job.team, job.submission_id), None)
+    submissions.bury(tables, job.team, job.submission, job.digest, answer)
+    tables.finished.append(
+        tables_lib.JobTrace(
+            job.team,
+            job.submission_id,
+            answer.outcome,
+            answer.code,
+            job.decisions,
+        )
+    )
+    tables.counters[f"jobs_{answer.outcome}"] += 1
+    tables.actions.append(actions.FinishJob(job))
+    actions.log_event(
+        tables,
+        events.Event.JOB_FINISHED,
+        job=job.submission_id,
+        team=job.team,
+        outcome=answer.outcome,
+        code=answer.code,
+        ms=round((now - job.accepted_at) * 1000, 1),
+    )
+
+
+def run_deadlines(tables: tables_lib.Tables, now: float) -> None:
+    """Fails the jobs whose deadline has come."""
+    while tables.deadlines and tables.deadlines[0][0] <= now:
+        _, _, job = heapq.heappop(tables.deadlines)
+        message = "the deadline passed before every task had finished"
+        fail_job(tables, job, errors.Code.DEADLINE, message, now)
--- /dev/null
+++ b/acacialine/broker.py
@@ -0,0 +1,480 @@
+"""The slot broker: who may use a slot of the owned backend servers next.
+
+Every slot in use is one `HeldSlot`. The own coordinator takes slots without
+a message; other coordinators hold them by grants.
+"""
+
+import attrs
+
+from acacialine import actions
+from acacialine import health
+from acacialine import messages
+from acacialine import queues
+from acacialine import tables as tables_lib
+
+CONNECTIONS_PER_BACKEND = 64  # over all entries
+LEASE_MARGIN_S = 1.0  # time after a lease in which a stop may take effect
+
+
+@attrs.define(eq=False)
+class _Candidate:
+    """Work of one holder and group that competes for slots."""
+
+    holder: str
+    group: tables_lib.Group
+    rank: float
+    lease_s: float
+    item: tables_lib.AskItem | None
+
+
+def free_slots(
+    tables: tables_lib.Tables, backend: tables_lib.Backend, now: float
+) -> int:
+    """Returns how many slots of a backend server may be given out now."""
+    if backend.owned_since is None or now < backend.grants_from:
+        return 0
+    used = len(backend.held) + sum(backend.foreign.values())
+    return health.allowed_slots(backend, now) - used
+
+
+def owned(tables: tables_lib.Tables) -> list[tables_lib.Backend]:
+    """Returns the backend servers whose broker this entry is."""
+    return [b for b in tables.backends.values() if b.owned_since is not None]
+
+
+def capacity(tables: tables_lib.Tables, now: float) -> tuple[int, int]:
+    """Returns (slots brokered, of these free)."""
+    total = 0
+    free = 0
+    for backend in owned(tables):
+        total += health.allowed_slots(backend, now)
+        free += max(0, free_slots(tables, backend, now))
+    return total, free
+
+
+def hold(
+    tables: tables_lib.Tables,
+    backend: tables_lib.Backend,
+    holder: str,
+    group: tables_lib.Group,
+    now: float,
+    use_until: float,
+    lease_s: float,
+) -> tables_lib.HeldSlot:
+    """Gives one slot of a backend server to a holder.
+
+    Args:
+        tables: The tables of this entry.
+        backend: Where the slot is.
+        holder: Incarnation of the coordinator.
+        group: The work it is for.
+        now: Current time.
+        use_until: Time by the holder's clock after which it is not used.
+        lease_s: Longest time a task may run on it, in s.
+    """
+    seq = tables.next_seq
+    tables.next_seq += 1
+    slot = tables_lib.HeldSlot(
+        holder,
+        seq,
+        backend.backend_id,
+        group,
+        now,
+        use_until,
+        now + lease_s + LEASE_MARGIN_S,
+    )
+    backend.held[seq] = slot
+    tables.team_usage(group.team).held += 1
+    kind = _kind_of(tables, group)
+    if kind:
+        backend.used_cpus += kind.cpus
+        backend.used_memory_mb += kind.memory_mb
+        backend.used_accelerators += kind.accelerators
+    return slot
+
+
+def free(
+    tables: tables_lib.Tables, backend: tables_lib.Backend, seq: int
+) -> tables_lib.HeldSlot | None:
+    """Takes back a slot; unknown numbers are ignored."""
+    slot = backend.held.pop(seq, None)
+    if slot is None:
+        return None
+    tables.team_usage(slot.group.team).held -= 1
+    kind = _kind_of(tables, slot.group)
+    if kind:
+        backend.used_cpus -= kind.cpus
+        backend.used_memory_mb -= kind.memory_mb
+        backend.used_accelerators -= kind.accelerators
+    if not backend.held:
+        backend.used_cpus = 0.0
+        backend.used_memory_mb = 0.0
+        backend.used_accelerators = 0
+    return slot
+
+
+def _kind_of(tables: tables_lib.Tables, group: tables_lib.Group):
+    document = tables.fold.documents.get(group.team)
+    return document.kinds.get(group.kind) if document else None
+
+
+def fits(
+    tables: tables_lib.Tables,
+    backend: tables_lib.Backend,
+    group: tables_lib.Group,
+) -> bool:
+    """Returns whether the backend server has what a task needs left."""
+    document = tables.fold.documents.get(group.team)
+    kind = document.kinds.get(group.kind) if document else None
+    if kind is None:
+        return False
+    if document.zones and backend.zone not in document.zones:
+        return False
+    return (
+        backend.used_cpus + kind.cpus <= backend.cpus
+        and backend.used_memory_mb + kind.memory_mb <= backend.memory_mb
+        and backend.used_accelerators + kind.accelerators
+        <= backend.accelerators
+    )
+
+
+def could_run(
+    tables: tables_lib.Tables,
+    backend: tables_lib.Backend,
+    group: tables_lib.Group,
+) -> bool:
+    """Returns whether an idle backend server has what a task needs."""
+    document = tables.fold.documents.get(group.team)
+    kind = document.kinds.get(group.kind) if document else None
+    if kind is None:
+        return False
+    if document.zones and backend.zone not in document.zones:
+        return False
+    return (
+        kind.cpus <= backend.cpus
+        and kind.memory_mb <= backend.memory_mb
+        and kind.accelerators <= backend.accelerators
+    )
+
+
+def connections_per_backend(tables: tables_lib.Tables) -> int:
+    """Returns the connections this entry may have to one backend server.
+
+    The zone's entries divide the 64 connections of a backend server, so
+    that all together stay within them whatever their views are.
+    """
+    return max(
+        1, CONNECTIONS_PER_BACKEND // tables.settings.placement.zone_entries_max
+    )
+
+
+def allocate(tables: tables_lib.Tables, now: float, budget: int) -> list:
+    """Gives free slots to the work that goes first.
+
+    Args:
+        tables: The tables of this entry.
+        now: Current time.
+        budget: Most slots to give in this step.
+
+    Returns:
+        Grants for the own coordinator; those for others are sent.
+    """
+    own_grants: list[tables_lib.Grant] = []
+    free_by_backend = _usable(tables, now)
+    if not free_by_backend:
+        return own_grants
+    candidates = _candidates(tables, now)
+    given: dict[str, list[messages.GrantEntry]] = {}
+    long_left = _long_slots_left(tables, now)
+    own_taken: dict[tables_lib.Group, int] = {}
+    while candidates and free_by_backend and budget > 0:
+        candidate = min(candidates, key=_key_of(tables))
+        backend = _pick_backend(tables, free_by_backend, candidate.group)
+        blocked = candidate.group.is_long and long_left <= 0
+        if backend is None or blocked or _over_quota(tables, candidate):
+            candidates.remove(candidate)
+            continue
+        budget -= 1
+        long_left -= candidate.group.is_long
+        free_by_backend[backend] -= 1
+        if free_by_backend[backend] <= 0:
+            del free_by_backend[backend]
+        if candidate.item is None:
+            own_grants.append(_grant_own(tables, backend, candidate, now))
+            taken = own_taken.get(candidate.group, 0) + 1
+            own_taken[candidate.group] = taken
+            left = tables.waiting[candidate.group] - taken
+        else:
+            entry = _grant_peer(tables, backend, candidate, now)
+            given.setdefault(candidate.holder, []).append(entry)
+            candidate.item.count -= 1
+            left = candidate.item.count
+        if left <= 0:
+            candidates.remove(candidate)
+    _send_grants(tables, given, now)
+    return own_grants
+
+
+def _usable(
+    tables: tables_lib.Tables, now: float
+) -> dict[tables_lib.Backend, int]:
+    result = {}
+    for backend in tables.backends.values():
+        if backend.owned_since is not None:
+            count = free_slots(tables, backend, now)
+            if count > 0:
+                result[backend] = count
+    return result
+
+
+def _candidates(tables: tables_lib.Tables, now: float) -> list[_Candidate]:
+    result = [
+        _Candidate(tables.my_id, want.group, want.rank, 0.0, None)
+        for want in queues.wanted(tables)
+    ]
+    for holder, ask in tables.asks.items():
+        for item in ask.items:
+            if item.count > 0:
+                result.append(
+                    _Candidate(
+                        holder, item.group, item.rank, item.lease_s, item
+                    )
+                )
+    return result
+
+
+def _key_of(tables: tables_lib.Tables):
+    if tables.settings.placement.policy == "fifo":
+        return lambda candidate: candidate.rank
+    shares = {}
+
+    def key(candidate: _Candidate) -> tuple:
+        team = candidate.group.team
+        if team not in shares:
+            document = tables.fold.documents.get(team)
+            shares[team] = document.weight if document else 1.0
+        held = tables.team_usage(team).held
+        share = held / shares[team]
+        return share, candidate.group.is_long, candidate.rank
+
+    return key
+
+
+def _long_slots_left(tables: tables_lib.Tables, now: float) -> int:
+    """Returns how many more slots long work may take."""
+    total = 0
+    held_long = 0
+    limit_s = tables.settings.placement.long_task_s
+    for backend in tables.backends.values():
+        if backend.owned_since is None:
+            continue
+        total += backend.slots
+        for slot in backend.held.values():
+            if slot.group.is_long or now - slot.issued_at > limit_s:
+                held_long += 1
+    if tables.settings.placement.policy != "default":
+        return total
+    share = tables.settings.placement.long_slots_share
+    return max(1, int(total * share)) - held_long
+
+
+def _over_quota(tables: tables_lib.Tables, candidate: _Candidate) -> bool:
+    document = tables.fold.documents.get(candidate.group.team)
+    if document is None or not document.quota_slots:
+        return False
+    mine = sum(b.slots for b in owned(tables))
+    everywhere = sum(b.slots for b in tables.backends.values())
+    share = document.quota_slots * mine / max(1, everywhere)
+    held = tables.team_usage(candidate.group.team).held
+    return held >= max(1, round(share))
+
+
+def _pick_backend(
+    tables: tables_lib.Tables,
+    free_by_backend: dict[tables_lib.Backend, int],
+    group: tables_lib.Group,
+) -> tables_lib.Backend | None:
+    best = None
+    best_score = 0.0
+    for backend, count in free_by_backend.items():
+        score = count / backend.health.slowdown
+        if score > best_score and fits(tables, backend, group):
+            best = backend
+            best_score = score
+    return best
+
+
+def _grant_own(
+    tables: tables_lib.Tables,
+    backend: tables_lib.Backend,
+    candidate: _Candidate,
+    now: float,
+) -> tables_lib.Grant:
+    forever = float("inf")
+    slot = hold(
+        tables, backend, tables.my_id, candidate.group, now, forever, forever
+    )
+    return tables_lib.Grant(
+        tables.my_id,
+        slot.seq,
+        backend.backend_id,
+        candidate.group,
+        float("inf"),
+        float("inf"),
+        False,
+    )
+
+
+def _grant_peer(
+    tables: tables_lib.Tables,
+    backend: tables_lib.Backend,
+    candidate: _Candidate,
+    now: float,
+) -> messages.GrantEntry:
+    ask = tables.asks[candidate.holder]
+    ttl = tables.settings.placement.grant_ttl_ms / 1000
+    use_until = ask.sent_at + (now - ask.received_at) + ttl
+    slot = hold(
+        tables,
+        backend,
+        candidate.holder,
+        candidate.group,
+        now,
+        use_until,
+        ttl + candidate.lease_s,
+    )
+    peer = tables.peers.get(candidate.holder)
+    if peer:
+        peer.given_seq = slot.seq
+    tables.counters["grants_given"] += 1
+    return messages.GrantEntry(
+        slot.seq,
+        backend.backend_id,
+        candidate.group.team,
+        candidate.group.kind,
+        candidate.group.is_long,
+        int(candidate.lease_s * 1000),
+    )
+
+
+def _send_grants(
+    tables: tables_lib.Tables,
+    given: dict[str, list[messages.GrantEntry]],
+    now: float,
+) -> None:
+    for holder, entries in given.items():
+        ask = tables.asks[holder]
+        waited_ms = int((now - ask.received_at) * 1000)
+        _, left = capacity(tables, now)
+        message = messages.GrantMessage(
+            tables.my_id, ask.sent_at, waited_ms, left, entries
+        )
+        tables.actions.append(actions.Send(holder, message))
+        tables.counters["messages_grant"] += 1
+
+
+def receive_ask(
+    tables: tables_lib.Tables, message: messages.AskMessage, now: float
+) -> None:
+    """Replaces the ask of a coordinator.
+
+    Grants that were on their way when the ask was sent are subtracted, so
+    that crossing messages lead to no surplus.
+    """
+    items = []
+    for entry in message.entries:
+        group = tables.group(entry.team, entry.kind, entry.is_long)
+        in_flight = _granted_since(
+            tables, message.sender, group, message.last_seq
+        )
+        count = entry.count - in_flight
+        if count > 0:
+            rank = queues.absolute_rank(tables, entry.rank, now)
+            items.append(
+                tables_lib.AskItem(group, count, rank, entry.lease_ms / 1000)
+            )
+    if items:
+        tables.asks[message.sender] = tables_lib.Ask(
+            message.sender, now, message.sent_at, items
+        )
+    else:
+        tables.asks.pop(message.sender, None)
+
+
+def _granted_since(
+    tables: tables_lib.Tables, holder: str, group: tables_lib.Group, seq: int
+) -> int:
+    peer = tables.peers.get(holder)
+    if peer is None or peer.given_seq <= seq:
+        return 0
+    count = 0
+    for backend in owned(tables):
+        for slot in backend.held.values():
+            if slot.seq > seq and slot.holder == holder and slot.group is group:
+                count += 1
+    return count
+
+
+def receive_release(
+    tables: tables_lib.Tables, message: messages.ReleaseMessage, now: float
+) -> None:
+    """Takes back slots that a coordinator gives up."""
+    for entry in message.entries:
+        for backend in tables.backends.values():
+            slot = backend.held.get(entry.seq)
+            if slot is None or slot.holder != message.sender:
+                continue
+            free(tables, backend, entry.seq)
+            reason = tables_lib.ReleaseReason(entry.reason)
+            if reason == tables_lib.ReleaseReason.UNUSED:
+                tables.counters["grants_unused"] += 1
+            health.report(
+                tables,
+                backend,
+                reason,
+                entry.run_ms / 1000,
+                entry.expected_ms / 1000,
+                now,
+            )
+            break
+
+
+def reconcile(
+    tables: tables_lib.Tables, beat: messages.Heartbeat, now: float
+) -> None:
+    """Compares the holder's own report with the slots given to it."""
+    reported = set(beat.held_seqs)
+    foreign: dict[str, int] = {}
+    for report in beat.held:
+        count = foreign.get(report.backend_id, 0)
+        foreign[report.backend_id] = count + 1
+    for backend in owned(tables):
+        for slot in list(backend.held.values()):
+            if slot.holder != beat.sender:
+                continue
+            if slot.seq in reported:
+                continue
+            # Never received and past its use by the holder's own clock, or
+            # received and no longer held: it cannot be used any more.
+            if slot.seq <= beat.last_seq or beat.sent_at > slot.use_until:
+                free(tables, backend, slot.seq)
+        if backend.backend_id in foreign:
+            backend.foreign[beat.sender] = foreign[backend.backend_id]
+        else:
+            backend.foreign.pop(beat.sender, None)
+
+
+def holder_gone(tables: tables_lib.Tables, holder: str) -> None:
+    """Forgets the ask of a dead holder; its slots stay until the lease."""
+    tables.asks.pop(holder, None)
+    for backend in tables.backends.values():
+        backend.foreign.pop(holder, None)
+
+
+def run_leases(tables: tables_lib.Tables, now: float) -> None:
+    """Frees slots whose lease has passed with nobody to report it."""
+    for backend in owned(tables):
+        late = [s for s in backend.held.values() if s.lease_until <= now]
+        for slot in late:
+            free(tables, backend, slot.seq)
+            tables.counters["leases_lapsed"] += 1
--- /dev/null
+++ b/acacialine/configlog.py
@@ -0,0 +1,194 @@
+"""The fold of configuration records: the log's order decides races."""
+
+import collections
+
+import attrs
+import msgspec
+
+from acacialine import documents as documents_lib
+from acacialine import errors
+
+REJECTIONS_KEPT = 64
+CHANGES_REMEMBERED = 4096
+
+
+@attrs.frozen
+class Change:
+    """One published change of a team document.
+
+    Attributes:
+        change_id: Unique id chosen by the publisher.
+        team: The team whose document changes.
+        base: The version this change is based on; 0 for a new team.
+        text: The whole new document.
+        author: Who published it.
+    """
+
+    change_id: str
+    team: str
+    base: int
+    text: str
+    author: str = ""
+
+
+@attrs.frozen
+class Version:
+    """The document of a team in force.
+
+    Attributes:
+        offset: Offset of the change in the log; the version number.
+    """
+
+    offset: int
+    change_id: str
+    text: str
+    author: str = ""
+
+
+@attrs.frozen
+class Rejection:
+    """A change that lost, with the reason."""
+
+    offset: int
+    change_id: str
+    team: str
+    reason: str
+
+
+@attrs.frozen
+class Snapshot:
+    """The whole fold up to and including an offset."""
+
+    offset: int
+    versions: dict[str, Version]
+    changes: dict[str, int]
+    rejections: list[Rejection] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Record:
+    """One log record: exactly one of a change or a snapshot."""
+
+    change: Change | None = None
+    snapshot: Snapshot | None = None
+
+
+def encode_record(record: Record) -> str:
+    """Encodes a record as JSON text."""
+    return msgspec.json.encode(record).decode()
+
+
+def decode_record(text: str) -> Record | None:
+    """Decodes a record; None if the text is not one."""
+    try:
+        return msgspec.json.decode(text, type=Record)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
+
+
+@attrs.define
+class Fold:
+    """The configuration in force after a prefix of the log.
+
+    Attributes:
+        offset: Offset of the last record applied; 0 before any, as
+            offsets start at 1.
+        versions: The version in force, by team.
+        documents: The checked documents, by team.
+        changes: Offsets of the accepted changes, by change id.
+        rejections: The latest rejected changes.
+        snapshot_offset: Offset at which the newest snapshot was seen.
+    """
+
+    offset: int = 0
+    versions: dict[str, Version] = attrs.field(factory=dict)
+    documents: dict[str, documents_lib.TeamDocument] = attrs.field(factory=dict)
+    changes: dict[str, int] = attrs.field(factory=dict)
+    rejections: collections.deque[Rejection] = attrs.field(
+        factory=lambda: collections.deque(maxlen=REJECTIONS_KEPT)
+    )
+    snapshot_offset: int = 0
+
+    def apply(self, offset: int, text: str) -> bool:
+        """Applies the record at an offset; lower offsets are ignored.
+
+        Returns:
+            Whether a document in force changed.
+        """
+        if offset <= self.offset:
+            return False
+        record = decode_record(text)
+        changed = False
+        if record and record.snapshot:
+            self.snapshot_offset = offset
+        elif record and record.change:
+            changed = self._apply_change(offset, record.change)
+        self.offset = offset
+        return changed
+
+    def _apply_change(self, offset: int, change: Change) -> bool:
+        if change.change_id in self.changes:
+            return False
+        current = self.versions.get(change.team)
+        version = current.offset if current else 0
+        if change.base != version:
+            winner = current.change_id if current else "none"
+            reason = (
+                f"based on version {change.base}, but version {version}"
+                f" (change {winner}) was accepted first"
+            )
+            return self._reject(offset, change, reason)
+        try:
+            document = documents_lib.read_document(change.text, change.team)
+        except errors.FindingsError as error:
+            return self._reject(offset, change, f"invalid: {error}")
+        if document.team != change.team:
+            return self._reject(offset, change, "names another team")
+        self.versions[change.team] = Version(
+            offset, change.change_id, change.text, change.author
+        )
+        self.documents[change.team] = document
+        self._remember(change.change_id, offset)
+        return True
+
+    def _remember(self, change_id: str, offset: int) -> None:
+        self.changes[change_id] = offset
+        while len(self.changes) > CHANGES_REMEMBERED:
+            del self.changes[next(iter(self.changes))]
+
+    def _reject(self, offset: int, change: Change, reason: str) -> bool:
+        self.rejections.append(
+            Rejection(offset, change.change_id, change.team, reason)
+        )
+        return False
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Adopts a snapshot if it is ahead of this fold."""
+        if snapshot.offset <= self.offset:
+            return False
+        self.versions = dict(snapshot.versions)
+        self.documents = {
+            team: documents_lib.read_document(version.text, team)
+            for team, version in self.versions.items()
+        }
+        self.changes = dict(snapshot.changes)
+        self.rejections.clear()
+        self.rejections.extend(snapshot.rejections)
+        self.offset = snapshot.offset
+        return True
+
+    def snapshot(self) -> Snapshot:
+        """Returns the whole fold as a snapshot."""
+        return Snapshot(
+            self.offset,
+            dict(self.versions),
+            dict(self.changes),
+            list(self.rejections),
+        )
+
+    def rejection_of(self, change_id: str) -> Rejection | None:
+        """Returns why a change lost, if it is among the latest."""
+        for rejection in self.rejections:
+            if rejection.change_id == change_id:
+                return rejection
+        return None
--- /dev/null
+++ b/acacialine/entry.py
@@ -0,0 +1,373 @@
+"""The entry daemon: carries out what the core decides.
+
+One trio loop runs the caller API, the admin API, the peer listener, the
+readers of the platform and the core's ticks.
+"""
+
+import functools
+import signal
+
+import attrs
+import hypercorn.trio
+import trio
+
+from acacialine import actions
+from acacialine import admin
+from acacialine import asgi
+from acacialine import broker
+from acacialine import clock
+from acacialine import configreader
+from acacialine import core as core_lib
+from acacialine import errors
+from acacialine import events
+from acacialine import frontend as frontend_lib
+from acacialine import handover as handover_lib
+from acacialine import ids
+from acacialine import keys
+from acacialine import links
+from acacialine import log
+from acacialine import membership
+from acacialine import messages
+from acacialine import metrics as metrics_lib
+from acacialine import peercalls
+from acacialine import platforms
+from acacialine import runner as runner_lib
+from acacialine import settings as settings_lib
+from acacialine import tables as tables_lib
+
+DISCOVERY_S = 0.5
+HOUSEKEEPING_S = 0.5
+CALLER_IDLE_S = 60.0
+STOP_POLL_S = 0.02
+BLOCKED_S = 0.05  # a step of the loop that is worth a warning
+MAX_SLEEP_S = 1.0
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One running entry.
+
+    Attributes:
+        core: Decisions over the tables.
+        frontend: Answers callers.
+        config: Follows the configuration.
+        runner: Runs start attempts.
+    """
+
+    settings: settings_lib.Settings
+    core: core_lib.Core
+    logger: log.Logger
+    platform: platforms.HttpPlatform
+    identity: links.Identity
+    metrics: metrics_lib.Metrics
+    frontend: frontend_lib.Frontend = attrs.field(init=False)
+    config: configreader.ConfigReader = attrs.field(init=False)
+    runner: runner_lib.Runner = attrs.field(init=False)
+    calls: peercalls.PeerCalls = attrs.field(init=False)
+    handover: handover_lib.Handover = attrs.field(init=False)
+    entry_vms: list[platforms.Vm] = attrs.field(factory=list)
+    is_ready: bool = False
+    _controls: dict[str, links.ControlLink] = attrs.field(factory=dict)
+    _wake: trio.Event = attrs.field(factory=trio.Event)
+    _stop: trio.Event = attrs.field(factory=trio.Event)
+    _nursery: trio.Nursery = attrs.field(init=False)
+    _refusals: dict[str, int] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.calls = peercalls.PeerCalls(self.core, self.identity)
+        self.frontend = frontend_lib.Frontend(
+            self.core, self.wake, self.calls.forward
+        )
+        self.config = configreader.ConfigReader(
+            self.core, self.platform, self.settings.platform
+        )
+        self.runner = runner_lib.Runner(self.core, self.calls, self.wake)
+        self.handover = handover_lib.Handover(self.core, self.calls)
+
+    @property
+    def tables(self) -> tables_lib.Tables:
+        """The tables of this entry."""
+        return self.core.tables
+
+    def wake(self) -> None:
+        """Makes the loop tick soon."""
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Begins a planned stop."""
+        self._stop.set()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Runs until a planned stop has ended."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self.runner.nursery = nursery
+            await self._listen(nursery)
+            nursery.start_soon(self._run_core)
+            nursery.start_soon(self.config.run)
+            nursery.start_soon(self.config.run_peers, self.calls.pool)
+            nursery.start_soon(self.config.run_snapshots)
+            nursery.start_soon(self._run_vm_list)
+            nursery.start_soon(self._run_discovery)
+            nursery.start_soon(self._run_housekeeping)
+            self._log(events.Event.ENTRY_STARTED, zone=self.tables.zone)
+            task_status.started()
+            await self._stop.wait()
+            await self._stop_in_order()
+            nursery.cancel_scope.cancel()
+        await self.platform.aclose()
+        self._log(events.Event.ENTRY_STOPPED)
+
+    def _log(self, event: events.Event, **fields) -> None:
+        self.logger.event(event, **fields)
+
+    async def _listen(self, nursery: trio.Nursery) -> None:
+        entry = self.settings.entry
+        host, port = entry.peer_address
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        nursery.start_soon(
+            functools.partial(trio.serve_listeners, self._serve_peer, listeners)
+        )
+        app = frontend_lib.new_asgi_app(
+            self.frontend, self.settings.submissions.max_body_bytes
+        )
+        await self._serve_http(nursery, app, entry.caller_address)
+        admin_app = admin.new_asgi_app(self)
+        await self._serve_http(nursery, admin_app, entry.admin_address)
+
+    async def _serve_http(
+        self, nursery: trio.Nursery, app, address: tuple[str, int]
+    ) -> None:
+        config = asgi.new_config(address, CALLER_IDLE_S)
+        if self.settings.tls.certificate:
+            config.certfile = self.settings.tls.certificate
+            config.keyfile = self.settings.tls.key
+        await nursery.start(
+            functools.partial(
+                hypercorn.trio.serve,
+                app,
+                config,
+                shutdown_trigger=trio.sleep_forever,
+            )
+        )
+
+    async def _run_core(self) -> None:
+        """Ticks on events and timers; yields between steps of much work."""
+        while True:
+            self._wake = trio.Event()
+            now = clock.now()
+            for action in self.core.tick(now):
+                self._execute(action)
+            spent_s = clock.now() - now
+            if spent_s > BLOCKED_S:
+                self._log(events.Event.LOOP_BLOCKED, seconds=spent_s)
+            if self.core.has_more(now):
+                await trio.lowlevel.checkpoint()
+                continue
+            sleep_s = self.core.next_timer(now) - clock.now()
+            with trio.move_on_after(min(max(sleep_s, 0), MAX_SLEEP_S)):
+                await self._wake.wait()
+
+    def _execute(self, action: actions.Action) -> None:
+        match action:
+            case actions.StartTask():
+                self.runner.start(action)
+            case actions.StopTask():
+                self.runner.stop(action)
+            case actions.FinishJob(job):
+                self.frontend.finish_job(job)
+            case actions.Send(peer_id, message):
+                self._send(peer_id, message)
+            case actions.LogEvent(event, fields):
+                self.logger.event(event, **fields)
+                self.metrics.event(event)
+            case actions.LogDecision(event, fields):
+                self.logger.decision(event, **fields)
+
+    def _send(self, peer_id: str, message: messages.Message) -> None:
+        peer = self.tables.peers.get(peer_id)
+        if peer is None:
+            return
+        control = self._controls.get(peer_id)
+        if control is None:
+            control = links.ControlLink(
+                self.identity,
+                peer_id,
+                peer.incarnation.address,
+                self._peer_refused,
+            )
+            self._controls[peer_id] = control
+            self._nursery.start_soon(control.run)
+        control.post(message)
+
+    def _peer_refused(self, peer_id: str) -> None:
+        """Buries a peer whose listener is gone, after a second look."""
+        peer = self.tables.peers.get(peer_id)
+        count = self._refusals.get(peer_id, 0) + 1
+        self._refusals[peer_id] = count
+        if peer is None or peer.state == "left" or count < 2:
+            return
+        now = clock.now()
+        heartbeat_s = self.settings.membership.heartbeat_ms / 1000
+        if now - peer.known_at > heartbeat_s:
+            membership.bury_peer(self.tables, peer, "refused", now)
+            self.wake()
+
+    async def _serve_peer(self, stream: trio.SocketStream) -> None:
+        await links.serve_link(
+            stream, self.identity, self._receive, self._reject_peer
+        )
+
+    def _reject_peer(self, reason: str) -> None:
+        self.tables.counters["peers_rejected"] += 1
+        self._log(events.Event.PEER_REJECTED, reason=reason)
+
+    async def _receive(
+        self, sender: str, message: messages.Message
+    ) -> messages.Message | None:
+        match message:
+            case messages.ConfigCall():
+                return self.config.reply_to(message)
+            case messages.ForwardCall():
+                return await self.calls.serve_forward(message, self.frontend)
+            case messages.RelayCall():
+                return await self.runner.serve_relay(sender, message)
+            case messages.StopCall():
+                await self.runner.serve_stop(message)
+                return messages.Acknowledged()
+            case messages.HandoverCall():
+                self.handover.receive(sender, message)
+                self.wake()
+                return messages.Acknowledged()
+        self.core.receive(sender, message, clock.now())
+        self.wake()
+        return None
+
+    async def _run_vm_list(self) -> None:
+        interval_s = self.settings.platform.vm_list_ms / 1000
+        while True:
+            try:
+                vms = await self.platform.list_vms()
+            except errors.PlatformError:
+                await trio.sleep(interval_s)
+                continue
+            self.entry_vms = [v for v in vms.vms if v.role == "entry"]
+            self.core.apply_vms(vms, clock.now())
+            self.wake()
+            jitter = 0.8 + 0.4 * self.tables.random.random()
+            await trio.sleep(interval_s * jitter)
+
+    async def _run_discovery(self) -> None:
+        """Introduces this entry to entries it does not know yet."""
+        while True:
+            for address in self._unknown_addresses():
+                try:
+                    await self._introduce(address)
+                except errors.PeerError:
+                    continue
+                except trio.BrokenResourceError:
+                    continue
+            self.is_ready = True
+            await trio.sleep(DISCOVERY_S * (0.5 + self.tables.random.random()))
+
+    def _unknown_addresses(self) -> list[tuple[str, int]]:
+        known = {p.incarnation.address for p in self.tables.peers.values()}
+        known.add(self.tables.me.address)
+        found = list(self.settings.entry.peers)
+        per_zone: dict[str, int] = {}
+        for vm in self.entry_vms:
+            host, _, port = vm.address.rpartition(":")
+            count = per_zone.get(vm.zone, 0)
+            near = vm.zone == self.tables.zone
+            if near or count < self.settings.membership.zone_fanout:
+                per_zone[vm.zone] = count + 1
+                found.append((host, int(port)))
+        return [a for a in dict.fromkeys(found) if a not in known]
+
+    async def _introduce(self, address: tuple[str, int]) -> None:
+        pool = links.CallPool(self.identity, "", address)
+        peer_id = await pool.introduce(
+            functools.partial(self._introduction, address)
+        )
+        if peer_id == self.tables.my_id:
+            return
+        self.tables.counters["introductions"] += 1
+
+    def _introduction(
+        self, address: tuple[str, int], peer_id: str
+    ) -> messages.Heartbeat:
+        stranger = tables_lib.Peer(ids.parse_incarnation(peer_id), "", "")
+        return membership.heartbeat_for(self.tables, stranger, clock.now())
+
+    async def _run_housekeeping(self) -> None:
+        """Closes idle connections and links, and reports metrics."""
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            await self.runner.close_idle()
+            for peer_id in list(self._controls):
+                peer = self.tables.peers.get(peer_id)
+                if peer is None or peer.state == "left":
+                    self._controls.pop(peer_id).close()
+                    await self.calls.drop(peer_id)
+                    self._refusals.pop(peer_id, None)
+            self.metrics.report(self.tables, broker.capacity, clock.now())
+
+    async def _stop_in_order(self) -> None:
+        """Finishes what is in flight, hands over, then says goodbye."""
+        tables = self.tables
+        stop = self.settings.stop
+        tables.draining = True
+        tables.successor = membership.choose_successor(tables)
+        membership.assign_backends(tables, clock.now())
+        tables.beat_at = tables.zone_beat_at = 0.0
+        self.wake()
+        self._log(
+            events.Event.ENTRY_DRAINING, successor=tables.successor or "none"
+        )
+        await trio.sleep(stop.unhealthy_s)
+        tables.refusing = True
+        with trio.move_on_after(stop.finish_s):
+            while self.frontend.in_flight or self.runner.is_busy:
+                await trio.sleep(STOP_POLL_S)
+        successor = await self.handover.send()
+        leaving = messages.LeavingMessage(tables.my_id, successor)
+        for peer in membership.live_peers(tables):
+            self._send(peer.id, leaving)
+        await trio.sleep(HOUSEKEEPING_S / 2)
+
+
+def new_entry(settings: settings_lib.Settings) -> Entry:
+    """Creates an entry from its settings."""
+    log_settings = settings.log
+    me = ids.new_incarnation(*settings.entry.peer_address)
+    identity = links.Identity(
+        me,
+        settings.entry.peer_keys,
+        keys.peer_server_context(settings.tls),
+        keys.peer_client_context(settings.tls),
+    )
+    tables = tables_lib.new_tables(me, settings, clock.now())
+    return Entry(
+        settings,
+        core_lib.new_core(tables),
+        log.Logger(settings.entry.name, log_settings.decisions),
+        platforms.new_http_platform(
+            settings.platform.url, settings.platform.timeout_ms
+        ),
+        identity,
+        metrics_lib.new_metrics(log_settings),
+    )
+
+
+async def run_until_signal(entry: Entry) -> None:
+    """Runs an entry until SIGTERM or SIGINT asks for a planned stop."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_stop_on_signal, signals, entry)
+            await entry.run()
+            nursery.cancel_scope.cancel()
+
+
+async def _stop_on_signal(signals, entry: Entry) -> None:
+    async for _ in signals:
+        entry.stop()
--- /dev/null
+++ b/acacialine/ids.py
@@ -0,0 +1,102 @@
+"""Coordinator incarnations and submission ids.
+
+A submission id is `<coordinator>.<epoch>/<key>`, where `<coordinator>` is
+`<host>-<port>-<nonce>` of the process that alone may start its tasks.
+"""
+
+import hashlib
+import re
+import secrets
+
+import attrs
+
+MAX_KEY_LENGTH = 128  # characters
+_KEY = re.compile(rf"[A-Za-z0-9._~:-]{{1,{MAX_KEY_LENGTH}}}")
+_NONCE = re.compile(r"[0-9a-f]{16}")
+DIGEST_BYTES = 16
+
+
+@attrs.frozen
+class Incarnation:
+    """One run of one entry process; never reused.
+
+    Attributes:
+        host: IP of the peer listener.
+        port: Port of the peer listener.
+        nonce: 16 hexadecimal digits chosen at start.
+    """
+
+    host: str
+    port: int
+    nonce: str
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address of the peer listener."""
+        return self.host, self.port
+
+    def __str__(self) -> str:
+        return f"{self.host}-{self.port}-{self.nonce}"
+
+
+@attrs.frozen
+class SubmissionId:
+    """The parts of a submission id."""
+
+    coordinator: Incarnation
+    epoch: int
+    key: str
+
+    def __str__(self) -> str:
+        return f"{self.coordinator}.{self.epoch}/{self.key}"
+
+
+def new_incarnation(host: str, port: int) -> Incarnation:
+    """Creates the identity of a starting process."""
+    return Incarnation(host, port, secrets.token_hex(8))
+
+
+def new_key() -> str:
+    """Creates a random caller key."""
+    return secrets.token_hex(8)
+
+
+def parse_incarnation(text: str) -> Incarnation:
+    """Parses `<host>-<port>-<nonce>`.
+
+    Raises:
+        ValueError: The text has another form.
+    """
+    parts = text.rsplit("-", 2)
+    if len(parts) != 3 or not parts[0] or not _NONCE.fullmatch(parts[2]):
+        raise ValueError("not a coordinator: expected host-port-nonce")
+    return Incarnation(parts[0], int(parts[1]), parts[2])
+
+
+def parse_submission_id(text: str) -> SubmissionId:
+    """Parses a whole submission id.
+
+    Raises:
+        ValueError: The text has another form.
+    """
+    prefix, separator, key = text.partition("/")
+    coordinator, dot, epoch = prefix.rpartition(".")
+    if not separator or not dot or not epoch.isdecimal():
+        raise ValueError("expected <coordinator>.<epoch>/<key>")
+    if not is_key(key):
+        raise ValueError("the key must be 1 to 128 of A-Z a-z 0-9 . _ ~ : -")
+    return SubmissionId(parse_incarnation(coordinator), int(epoch), key)
+
+
+def is_key(text: str) -> bool:
+    """Returns whether the text is a valid caller key without a prefix."""
+    return bool(_KEY.fullmatch(text))
+
+
+def digest(*parts: bytes) -> bytes:
+    """Returns a 16-byte digest of the parts, in order."""
+    result = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        result.update(len(part).to_bytes(8, "big"))
+        result.update(part)
+    return result.digest()
--- /dev/null
+++ b/acacialine/log.py
@@ -0,0 +1,62 @@
+"""Structured log lines: `E<number> <name> key=value ...` on stderr."""
+
+from absl import flags
+from absl import logging
+
+from acacialine import events
+
+_WARNINGS = frozenset(
+    {
+        events.Event.CLOCK_JUMP,
+        events.Event.TASK_UNKNOWN,
+        events.Event.BACKEND_QUARANTINED,
+        events.Event.PEER_DEAD,
+        events.Event.PEER_REJECTED,
+        events.Event.CONFIG_REJECTED,
+        events.Event.PLATFORM_DOWN,
+        events.Event.LOOP_BLOCKED,
+    }
+)
+
+
+class Logger:
+    """Writes numbered events of one process."""
+
+    def __init__(self, source: str, decisions: bool = True):
+        self._source = source
+        self.decisions = decisions
+
+    def event(self, event: events.Event, **fields) -> None:
+        """Writes one event with its fields."""
+        line = format_event(event, self._source, fields)
+        if event in _WARNINGS:
+            logging.warning("%s", line)
+        else:
+            logging.info("%s", line)
+
+    def decision(self, event: events.Event, **fields) -> None:
+        """Writes one routing or placement decision, unless switched off."""
+        if self.decisions:
+            logging.info("%s", format_event(event, self._source, fields))
+
+
+def format_event(event: events.Event, source: str, fields: dict) -> str:
+    """Formats an event as one line of key=value pairs."""
+    pairs = " ".join(f"{k}={_quote(v)}" for k, v in fields.items())
+    return f"E{event.value} {event.name.lower()} at={source} {pairs}"
+
+
+def _quote(value) -> str:
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    if not text or any(c in text for c in ' "\n='):
+        return '"' + text.replace('"', "'").replace("\n", "\\n") + '"'
+    return text
+
+
+def set_up(verbose: bool = True) -> None:
+    """Sends log lines to stderr."""
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO if verbose else logging.WARNING)
+    logging.set_stderrthreshold(logging.INFO)
--- /dev/null
+++ b/acacialine/queues.py
@@ -0,0 +1,144 @@
+"""Waiting tasks of the own jobs, ordered for placement."""
+
+import collections
+import heapq
+
+import attrs
+
+from acacialine import tables as tables_lib
+
+AGEING = 12.0  # slot-seconds of remaining work that one second of age offsets
+
+
+@attrs.define(eq=False)
+class Wanted:
+    """What the own queue wants for one group.
+
+    Attributes:
+        rank: Rank of its best job; lower first.
+    """
+
+    group: tables_lib.Group
+    count: int
+    rank: float
+
+
+def rank_of(tables: tables_lib.Tables, job: tables_lib.Job) -> float:
+    """Returns a job's rank: least remaining work first, with ageing.
+
+    Every job ages at the same pace, so the time of acceptance alone carries
+    the ageing and ranks need no refresh as time passes.
+    """
+    if tables.settings.placement.policy != "default":
+        return job.accepted_at
+    return job.work_s + AGEING * job.accepted_at
+
+
+def relative_rank(tables: tables_lib.Tables, rank: float, now: float) -> float:
+    """Turns a rank into one that another entry's clock can read."""
+    if tables.settings.placement.policy != "default":
+        return rank - now
+    return rank - AGEING * now
+
+
+def absolute_rank(tables: tables_lib.Tables, rank: float, now: float) -> float:
+    """Reverses `relative_rank` with the own clock."""
+    if tables.settings.placement.policy != "default":
+        return rank + now
+    return rank + AGEING * now
+
+
+def add_job(tables: tables_lib.Tables, job: tables_lib.Job) -> None:
+    """Queues every task of an accepted job."""
+    for task in job.tasks:
+        queue = job.waiting.get(task.group)
+        if queue is None:
+            queue = job.waiting[task.group] = collections.deque()
+        queue.append(task)
+    for group, queue in job.waiting.items():
+        tables.waiting[group] = tables.waiting.get(group, 0) + len(queue)
+        _push(tables, group, job)
+
+
+def _push(
+    tables: tables_lib.Tables, group: tables_lib.Group, job: tables_lib.Job
+) -> None:
+    tables.next_heap_seq += 1
+    entry = (rank_of(tables, job), tables.next_heap_seq, job)
+    heapq.heappush(tables.queues.setdefault(group, []), entry)
+
+
+def requeue(
+    tables: tables_lib.Tables, task: tables_lib.Task, now: float
+) -> None:
+    """Queues a task again after an attempt that did not start."""
+    if task.not_before > now:
+        tables.next_heap_seq += 1
+        entry = (task.not_before, tables.next_heap_seq, task)
+        heapq.heappush(tables.delayed, entry)
+        return
+    queue = task.job.waiting.setdefault(task.group, collections.deque())
+    queue.appendleft(task)
+    tables.waiting[task.group] = tables.waiting.get(task.group, 0) + 1
+    _push(tables, task.group, task.job)
+
+
+def run_delayed(tables: tables_lib.Tables, now: float) -> None:
+    """Queues the tasks whose backoff has passed."""
+    while tables.delayed and tables.delayed[0][0] <= now:
+        _, _, task = heapq.heappop(tables.delayed)
+        waits = task.state == tables_lib.TaskState.WAITING
+        if waits and task.job.answer is None:
+            requeue(tables, task, now)
+
+
+def drop_job(tables: tables_lib.Tables, job: tables_lib.Job) -> None:
+    """Removes a finished job; its heap entries are skipped when met."""
+    for group, queue in job.waiting.items():
+        tables.waiting[group] -= len(queue)
+        queue.clear()
+
+
+def best(
+    tables: tables_lib.Tables, group: tables_lib.Group
+) -> tables_lib.Job | None:
+    """Returns the job whose task of the group goes next."""
+    heap = tables.queues.get(group)
+    while heap:
+        job = heap[0][2]
+        if job.answer is None and job.waiting.get(group):
+            return job
+        heapq.heappop(heap)
+    return None
+
+
+def take(
+    tables: tables_lib.Tables, group: tables_lib.Group
+) -> tables_lib.Task | None:
+    """Removes and returns the next task of a group."""
+    job = best(tables, group)
+    if job is None:
+        return None
+    queue = job.waiting[group]
+    task = queue.popleft()
+    tables.waiting[group] -= 1
+    heap = tables.queues[group]
+    if queue:
+        tables.next_heap_seq += 1
+        entry = (rank_of(tables, job), tables.next_heap_seq, job)
+        heapq.heapreplace(heap, entry)
+    else:
+        heapq.heappop(heap)
+    return task
+
+
+def wanted(tables: tables_lib.Tables) -> list[Wanted]:
+    """Returns what the own queue wants, by group."""
+    result = []
+    for group, count in tables.waiting.items():
+        if count <= 0:
+            continue
+        job = best(tables, group)
+        if job is not None:
+            result.append(Wanted(group, count, rank_of(tables, job)))
+    return result
--- /dev/null
+++ b/acacialine/runner.py
@@ -0,0 +1,185 @@
+"""Runs start attempts: directly, relayed, and for other coordinators."""
+
+import collections.abc
+
+import attrs
+import trio
+
+from acacialine import actions
+from acacialine import broker
+from acacialine import clock
+from acacialine import core as core_lib
+from acacialine import events
+from acacialine import messages
+from acacialine import peercalls
+from acacialine import starter
+from acacialine import tables as tables_lib
+
+_UNKNOWN = tables_lib.AttemptOutcome.UNKNOWN
+_NOT_STARTED = tables_lib.AttemptOutcome.NOT_STARTED
+
+
+@attrs.define(eq=False)
+class Runner:
+    """Runs the attempts of one entry, each in a task of its own."""
+
+    core: core_lib.Core
+    calls: peercalls.PeerCalls
+    wake: collections.abc.Callable[[], None]
+    nursery: trio.Nursery | None = None
+    _connections: dict[str, starter.BackendConnections] = attrs.field(
+        factory=dict
+    )
+    _scopes: dict[tuple, trio.CancelScope] = attrs.field(factory=dict)
+    _relays: dict[str, trio.CancelScope] = attrs.field(factory=dict)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether any attempt is in flight."""
+        return bool(self._scopes or self._relays)
+
+    @property
+    def _tables(self) -> tables_lib.Tables:
+        return self.core.tables
+
+    def start(self, action: actions.StartTask) -> None:
+        """Begins a recorded attempt."""
+        scope = trio.CancelScope()
+        self._scopes[(action.task, action.attempt)] = scope
+        self.nursery.start_soon(self._run, action, scope)
+
+    def stop(self, action: actions.StopTask) -> None:
+        """Stops an attempt whose answer nobody waits for."""
+        scope = self._scopes.get((action.task, action.attempt))
+        if scope:
+            scope.cancel()
+        actions.log_decision(
+            self._tables,
+            events.Event.TASK_STOPPED,
+            task=action.task.task_id,
+        )
+
+    async def _run(
+        self, action: actions.StartTask, scope: trio.CancelScope
+    ) -> None:
+        # Holds unless the attempt itself reports something better.
+        result = starter.Result(_UNKNOWN, reason="cancelled")
+        try:
+            with scope:
+                result = await self._attempt(action)
+        except Exception as error:  # noqa: BLE001
+            # Whatever went wrong here, the task may have started.
+            result = starter.Result(_UNKNOWN, reason=repr(error))
+        try:
+            if scope.cancelled_caught:
+                await self._stop_running(action)
+        finally:
+            del self._scopes[(action.task, action.attempt)]
+            self.core.finish_attempt(
+                action,
+                result.outcome,
+                result.answer,
+                result.reason,
+                clock.now(),
+            )
+            self.wake()
+
+    async def _attempt(self, action: actions.StartTask) -> starter.Result:
+        task = action.task
+        grant = action.grant
+        if grant.relayed:
+            return await self.calls.relay(task, grant)
+        connections = self._connections_to(grant.backend_id)
+        if connections is None:
+            return starter.Result(_NOT_STARTED, reason="backend is gone")
+        start = starter.Start(
+            task.task_id,
+            task.group.kind,
+            task.payload,
+            grant.use_until,
+            task.job.deadline,
+            grant.lease_s,
+        )
+        return await connections.start(start)
+
+    def _connections_to(
+        self, backend_id: str
+    ) -> starter.BackendConnections | None:
+        found = self._connections.get(backend_id)
+        if found is None:
+            backend = self._tables.backends.get(backend_id)
+            if backend is None:
+                return None
+            limit = broker.connections_per_backend(self._tables)
+            found = starter.new_connections(backend, self._tables, limit)
+            self._connections[backend_id] = found
+        return found
+
+    async def _stop_running(self, action: actions.StartTask) -> None:
+        """Stops a task at its backend server so that its slot is free."""
+        task = action.task
+        grant = action.grant
+        if grant.relayed:
+            await self.calls.stop_relayed(task, grant)
+            return
+        connections = self._connections_to(grant.backend_id)
+        if connections:
+            await connections.stop(task.task_id)
+
+    async def serve_relay(
+        self, sender: str, call: messages.RelayCall
+    ) -> messages.RelayReply:
+        """Starts a task for a coordinator of another zone.
+
+        Each grant serves one start: the slot is marked as used before
+        anything is sent.
+        """
+        backend = self._tables.backends.get(call.backend_id)
+        slot = backend.held.get(call.seq) if backend else None
+        valid = slot is not None and slot.holder == sender and not slot.used
+        connections = self._connections_to(call.backend_id)
+        if not valid or backend.leaving or connections is None:
+            return messages.RelayReply(_NOT_STARTED, 0, "", "refused", b"")
+        slot.used = True
+        now = clock.now()
+        start = starter.Start(
+            call.task_id,
+            call.kind,
+            call.body,
+            float("inf"),
+            now + call.deadline_ms / 1000,
+            call.lease_ms / 1000,
+        )
+        result = starter.Result(_UNKNOWN, reason="stopped")
+        scope = trio.CancelScope()
+        self._relays[call.task_id] = scope
+        try:
+            with scope:
+                result = await connections.start(start)
+        finally:
+            del self._relays[call.task_id]
+        if scope.cancelled_caught:
+            await connections.stop(call.task_id)
+        answer = result.answer or tables_lib.BackendAnswer(0, b"", "")
+        return messages.RelayReply(
+            result.outcome,
+            answer.status,
+            answer.content_type,
+            result.reason,
+            answer.body,
+        )
+
+    async def serve_stop(self, call: messages.StopCall) -> None:
+        """Stops a relayed task for its coordinator."""
+        scope = self._relays.get(call.task_id)
+        if scope:
+            scope.cancel()
+
+    async def close_idle(self) -> None:
+        """Closes idle connections and forgets backend servers gone."""
+        now = clock.now()
+        for backend_id, connections in list(self._connections.items()):
+            await connections.close_idle(now)
+            gone = backend_id not in self._tables.backends
+            if gone and connections.is_unused:
+                del self._connections[backend_id]
--- /dev/null
+++ b/acacialine/settings.py
@@ -0,0 +1,418 @@
+"""Settings of the entry daemon: one table of defaults, read from INI."""
+
+import pathlib
+
+import attrs
+
+from acacialine import errors
+from acacialine import ini
+
+# Section -> options. docs/CONFIGURATION.md lists the same table.
+DEFAULTS: dict[str, tuple[ini.Option, ...]] = {
+    "entry": (
+        ini.Option("name", ini.name, None, "Name of this entry VM."),
+        ini.Option("zone", ini.name, None, "Its availability zone."),
+        ini.Option("region", ini.name, "region-1", "Its region."),
+        ini.Option(
+            "caller_address",
+            ini.address,
+            "127.0.0.1:7100",
+            "IP:port on which callers are served.",
+        ),
+        ini.Option(
+            "peer_address",
+            ini.address,
+            "127.0.0.1:7101",
+            "IP:port on which other entries connect.",
+        ),
+        ini.Option(
+            "admin_address",
+            ini.address,
+            "127.0.0.1:7102",
+            "IP:port of the admin API.",
+        ),
+        ini.Option(
+            "admin_token_sha256",
+            ini.string,
+            "",
+            "SHA-256 of the admin token; required beyond loopback.",
+        ),
+        ini.Option(
+            "peers",
+            ini.addresses,
+            "",
+            "Peer addresses tried when the VM list is not available.",
+        ),
+        ini.Option(
+            "peer_keys",
+            ini.words,
+            None,
+            "Shared keys of the entries; the first is used to connect,"
+            " all are accepted.",
+        ),
+    ),
+    "platform": (
+        ini.Option("url", ini.string, None, "Base URL of the platform."),
+        ini.Option(
+            "config_stream", ini.name, "config", "Stream of team documents."
+        ),
+        ini.Option(
+            "poll_ms",
+            ini.integer(10, 60000),
+            "500",
+            "Longest wait of one read of the stream, in ms.",
+        ),
+        ini.Option(
+            "retention_s",
+            ini.number(1, 1e8),
+            "86400",
+            "Time for which the log keeps a record, in s.",
+        ),
+        ini.Option(
+            "vm_list_ms",
+            ini.integer(50, 60000),
+            "1000",
+            "Interval between reads of the VM list, in ms.",
+        ),
+        ini.Option(
+            "timeout_ms",
+            ini.integer(50, 60000),
+            "2000",
+            "Time allowed for one platform request, in ms.",
+        ),
+    ),
+    "submissions": (
+        ini.Option(
+            "epoch_s",
+            ini.number(0.1, 3600),
+            "60",
+            "Length of an epoch of submission ids, in s.",
+        ),
+        ini.Option(
+            "epochs_kept",
+            ini.integer(1, 1000),
+            "4",
+            "Epochs before the current one whose ids are still known.",
+        ),
+        ini.Option(
+            "answer_bytes",
+            ini.integer(0, 1 << 30),
+            "16777216",
+            "Bytes of answers kept for replay.",
+        ),
+        ini.Option(
+            "tombstones",
+            ini.integer(16, 10_000_000),
+            "150000",
+            "Most tombstones kept; older epochs are closed beyond it.",
+        ),
+        ini.Option(
+            "max_body_bytes",
+            ini.integer(1024, 1 << 30),
+            "2097152",
+            "Largest request body, in bytes.",
+        ),
+        ini.Option(
+            "max_queued_bytes",
+            ini.integer(1024, 1 << 30),
+            "50331648",
+            "Bytes of unfinished request bodies held at once.",
+        ),
+        ini.Option(
+            "deadline_margin_ms",
+            ini.integer(0, 10000),
+            "15",
+            "Time before the caller's deadline at which an answer is final.",
+        ),
+    ),
+    "placement": (
+        ini.Option(
+            "policy",
+            ini.choice("default", "fifo", "random"),
+            "default",
+            "How waiting tasks are ordered and placed.",
+        ),
+        ini.Option(
+            "zone_entries_max",
+            ini.integer(1, 64),
+            "8",
+            "Most entries of one zone; connections per backend server are"
+            " divided by it.",
+        ),
+        ini.Option(
+            "grant_ttl_ms",
+            ini.integer(5, 10000),
+            "250",
+            "Time within which a granted slot must be used, in ms.",
+        ),
+        ini.Option(
+            "ask_interval_ms",
+            ini.integer(1, 10000),
+            "4",
+            "Shortest time between two asks to one broker, in ms.",
+        ),
+        ini.Option(
+            "spill_wait_ms",
+            ini.integer(0, 60000),
+            "10",
+            "Predicted wait above which other zones are asked, in ms.",
+        ),
+        ini.Option(
+            "starts_per_tick",
+            ini.integer(1, 1000),
+            "16",
+            "Most starts in one step of the loop.",
+        ),
+        ini.Option(
+            "long_task_s",
+            ini.number(0.01, 3600),
+            "1.2",
+            "Run time from which a task counts as long, in s.",
+        ),
+        ini.Option(
+            "long_slots_share",
+            ini.number(0.01, 1),
+            "0.5",
+            "Share of a broker's slots that long tasks may hold.",
+        ),
+        ini.Option(
+            "retry_share",
+            ini.number(0, 1),
+            "0.1",
+            "Retries allowed as a share of starts.",
+        ),
+        ini.Option(
+            "connect_timeout_ms",
+            ini.integer(1, 60000),
+            "1000",
+            "Time allowed to connect to a backend server, in ms.",
+        ),
+        ini.Option(
+            "idle_expiry_ms",
+            ini.integer(1, 60000),
+            "2000",
+            "Time after which an idle connection is closed, in ms.",
+        ),
+    ),
+    "membership": (
+        ini.Option(
+            "heartbeat_ms",
+            ini.integer(20, 10000),
+            "400",
+            "Interval of heartbeats within the zone, in ms.",
+        ),
+        ini.Option(
+            "zone_heartbeat_ms",
+            ini.integer(20, 60000),
+            "1000",
+            "Interval of heartbeats to other zones, in ms.",
+        ),
+        ini.Option(
+            "dead_ms",
+            ini.integer(50, 60000),
+            "1600",
+            "Silence after which a peer counts as dead, in ms.",
+        ),
+        ini.Option(
+            "zone_fanout",
+            ini.integer(1, 64),
+            "2",
+            "Entries of each other zone that get heartbeats.",
+        ),
+    ),
+    "stop": (
+        ini.Option(
+            "unhealthy_s",
+            ini.number(0, 600),
+            "1",
+            "Time between reporting unhealthy and refusing work, in s.",
+        ),
+        ini.Option(
+            "finish_s",
+            ini.number(0, 3600),
+            "60",
+            "Longest wait for work in flight at a planned stop, in s.",
+        ),
+    ),
+    "tls": (
+        ini.Option("certificate", ini.string, "", "Certificate file (PEM)."),
+        ini.Option("key", ini.string, "", "Private key file (PEM)."),
+        ini.Option("ca", ini.string, "", "CA file for peer links (PEM)."),
+    ),
+    "log": (
+        ini.Option(
+            "decisions",
+            ini.boolean,
+            "yes",
+            "Whether each placement decision is logged.",
+        ),
+        ini.Option("statsd", ini.string, "", "IP:port of statsd; none: off."),
+        ini.Option("statsd_prefix", ini.string, "acacialine", "Name prefix."),
+    ),
+}
+
+
+@attrs.frozen
+class EntrySettings:
+    """Settings of the process itself."""
+
+    name: str
+    zone: str
+    region: str
+    caller_address: tuple[str, int]
+    peer_address: tuple[str, int]
+    admin_address: tuple[str, int]
+    admin_token_sha256: str
+    peers: tuple[tuple[str, int], ...]
+    peer_keys: tuple[str, ...] = attrs.field(repr=False)
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Where the platform is and how often it is read."""
+
+    url: str
+    config_stream: str
+    poll_ms: int
+    retention_s: float
+    vm_list_ms: int
+    timeout_ms: int
+
+
+@attrs.frozen
+class SubmissionSettings:
+    """Bounds on submissions and on what is remembered of them."""
+
+    epoch_s: float
+    epochs_kept: int
+    answer_bytes: int
+    tombstones: int
+    max_body_bytes: int
+    max_queued_bytes: int
+    deadline_margin_ms: int
+
+
+@attrs.frozen
+class PlacementSettings:
+    """Parameters of the placement policy."""
+
+    policy: str
+    zone_entries_max: int
+    grant_ttl_ms: int
+    ask_interval_ms: int
+    spill_wait_ms: int
+    starts_per_tick: int
+    long_task_s: float
+    long_slots_share: float
+    retry_share: float
+    connect_timeout_ms: int
+    idle_expiry_ms: int
+
+
+@attrs.frozen
+class MembershipSettings:
+    """Intervals of heartbeats and failure detection."""
+
+    heartbeat_ms: int
+    zone_heartbeat_ms: int
+    dead_ms: int
+    zone_fanout: int
+
+
+@attrs.frozen
+class StopSettings:
+    """Bounds of a planned stop."""
+
+    unhealthy_s: float
+    finish_s: float
+
+
+@attrs.frozen
+class TlsSettings:
+    """Certificate files; empty names switch TLS off."""
+
+    certificate: str
+    key: str
+    ca: str
+
+
+@attrs.frozen
+class LogSettings:
+    """What is logged and where metrics go."""
+
+    decisions: bool
+    statsd: str
+    statsd_prefix: str
+
+
+@attrs.frozen
+class Settings:
+    """All settings of one entry daemon."""
+
+    entry: EntrySettings
+    platform: PlatformSettings
+    submissions: SubmissionSettings
+    placement: PlacementSettings
+    membership: MembershipSettings
+    stop: StopSettings
+    tls: TlsSettings
+    log: LogSettings
+
+
+_CLASSES = {
+    "entry": EntrySettings,
+    "platform": PlatformSettings,
+    "submissions": SubmissionSettings,
+    "placement": PlacementSettings,
+    "membership": MembershipSettings,
+    "stop": StopSettings,
+    "tls": TlsSettings,
+    "log": LogSettings,
+}
+
+_LOOPBACK = ("127.", "::1")
+
+
+def read_settings(text: str, source: str) -> Settings:
+    """Reads settings from INI text.
+
+    Raises:
+        errors.FindingsError: With every finding in the text.
+    """
+    parsed = ini.parse_text(text, source)
+    sections = {}
+    for section, options in DEFAULTS.items():
+        sections[section] = ini.read_section(parsed, section, options)
+    for section in parsed.sections:
+        if section not in DEFAULTS:
+            parsed.add(section, "", "is not a known section")
+    _check_together(parsed, sections)
+    if parsed.findings:
+        raise errors.FindingsError(
+            errors.Code.INVALID_SETTINGS, parsed.findings
+        )
+    built = {name: _CLASSES[name](**v) for name, v in sections.items()}
+    return Settings(**built)
+
+
+def _check_together(parsed: ini.Text, sections: dict) -> None:
+    """Adds findings for values that contradict each other."""
+    entry = sections["entry"]
+    host = entry.get("admin_address", ("127.0.0.1", 0))[0]
+    if not host.startswith(_LOOPBACK) and not entry.get("admin_token_sha256"):
+        parsed.add("entry", "admin_token_sha256", "is required beyond loopback")
+    membership = sections["membership"]
+    if {"dead_ms", "heartbeat_ms"} <= membership.keys():
+        least = 2 * membership["heartbeat_ms"]
+        if membership["dead_ms"] < least:
+            parsed.add(
+                "membership", "dead_ms", f"must be 2 × heartbeat_ms, {least}"
+            )
+    tls = sections["tls"]
+    if bool(tls.get("certificate")) != bool(tls.get("key")):
+        parsed.add("tls", "key", "certificate and key go together")
+
+
+def read_settings_file(path: str) -> Settings:
+    """Reads settings from a file; see `read_settings`."""
+    return read_settings(pathlib.Path(path).read_text(), path)
--- /dev/null
+++ b/acacialine/tests/test_path.py
@@ -0,0 +1,107 @@
+"""The whole path with real sockets in one process."""
+
+import unittest
+
+import msgspec
+
+from acacialine.tests import support
+
+
+class PathTest(unittest.TestCase):
+    def test_job_runs_over_zones_and_answers_whole(self):
+        support.run(self._whole)
+
+    async def _whole(self):
+        async with support.installation(["a", "b"], [2, 1], [2, 1]) as local:
+            caller = support.Caller(local.layout.entries[0].caller)
+            status, body = await caller.submit(60, run_ms=30, mark="m")
+            self.assertEqual(status, 200, body)
+            self.assertEqual(body["outcome"], "complete")
+            self.assertEqual(
+                [r["index"] for r in body["results"]], list(range(60))
+            )
+            self.assertEqual(
+                {r["result"]["mark"] for r in body["results"]}, {"m"}
+            )
+            starts = [
+                entry.task
+                for standin in local.backends.values()
+                for entry in standin.journal
+                if entry.event == "start"
+            ]
+            self.assertEqual(len(starts), 60)
+            self.assertEqual(len(set(starts)), 60)
+
+    def test_requests_are_checked(self):
+        support.run(self._checked)
+
+    async def _checked(self):
+        async with support.installation(["a"], [1], [1]) as local:
+            address = local.layout.entries[0].caller
+            caller = support.Caller(address)
+            cases = [
+                (b"{", 400, "invalid_request"),
+                (b'{"tasks":[]}', 400, "invalid_request"),
+                (b'{"kind":"none","tasks":[{},{}]}', 400, "invalid_request"),
+                (b'{"kind":"huge","tasks":[{}]}', 422, "unsatisfiable"),
+                (
+                    b'{"kind":"quick","tasks":[' + b"{}," * 1600 + b"{}]}",
+                    413,
+                    "too_many_tasks",
+                ),
+                (b"x" * 3_000_000, 413, "body_too_large"),
+            ]
+            for body, wanted, code in cases:
+                status, _, content = await caller.request(
+                    "POST", "/v1/jobs", body
+                )
+                answer = msgspec.json.decode(content)
+                self.assertEqual((status, answer["code"]), (wanted, code))
+                self.assertEqual(answer["outcome"], "not_run")
+            _, _, content = await caller.request(
+                "POST", "/v1/jobs", cases[2][0]
+            )
+            self.assertEqual(len(msgspec.json.decode(content)["findings"]), 2)
+            stranger = support.Caller(address, "wrong")
+            status, body = await stranger.submit()
+            self.assertEqual((status, body["outcome"]), (401, "not_run"))
+            journal = next(iter(local.backends.values())).journal
+            self.assertEqual(journal, [])
+
+    def test_other_teams_see_nothing(self):
+        support.run(self._teams)
+
+    async def _teams(self):
+        async with support.installation(["a"], [2], [1]) as local:
+            first, second = local.layout.entries
+            caller = support.Caller(first.caller)
+            text = f"{await caller.prefix()}/k1"
+            status, _ = await caller.submit(submission_id=text)
+            self.assertEqual(status, 200)
+            for address in (first.caller, second.caller):
+                mine = support.Caller(address)
+                status, _, _ = await mine.request("GET", f"/v1/jobs/{text}")
+                self.assertEqual(status, 200)
+                other = support.Caller(address, support.OTHER_TOKEN)
+                for method in ("GET", "DELETE"):
+                    status, _, _ = await other.request(
+                        method, f"/v1/jobs/{text}"
+                    )
+                    self.assertEqual(status, 404)
+
+    def test_one_task_with_a_raw_body(self):
+        support.run(self._raw)
+
+    async def _raw(self):
+        async with support.installation(["a"], [1], [1]) as local:
+            caller = support.Caller(local.layout.entries[0].caller)
+            status, headers, body = await caller.request(
+                "POST", "/v1/tasks/quick", b'{"mark":"raw"}'
+            )
+            self.assertEqual(status, 200)
+            self.assertEqual(headers["outcome"], "complete")
+            self.assertEqual(msgspec.json.decode(body)["mark"], "raw")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/acacialine/tests/test_settings.py
@@ -0,0 +1,65 @@
+"""Settings and documents: every finding at once, with its place."""
+
+import unittest
+
+from acacialine import documents
+from acacialine import errors
+from acacialine import settings
+from acacialine.tests import support
+
+
+class SettingsTest(unittest.TestCase):
+    def test_all_findings_with_place(self):
+        text = (
+            "[entry]\nname = bad name\nzone = a\ncaller_address = nowhere\n"
+            "peer_keys = k\nunknown = 1\n[platform]\nurl = x\npoll_ms = 1\n"
+            "[mystery]\na = b\n"
+        )
+        with self.assertRaises(errors.FindingsError) as caught:
+            settings.read_settings(text, "entry.ini")
+        places = {(f.line, f.section, f.key) for f in caught.exception.findings}
+        self.assertEqual(
+            places,
+            {
+                (2, "entry", "name"),
+                (4, "entry", "caller_address"),
+                (6, "entry", "unknown"),
+                (9, "platform", "poll_ms"),
+                (10, "mystery", ""),
+            },
+        )
+
+    def test_admin_beyond_loopback_needs_a_token(self):
+        text = (
+            "[entry]\nname = a\nzone = a\npeer_keys = k\n"
+            "admin_address = 10.0.0.1:7\n[platform]\nurl = x\n"
+        )
+        with self.assertRaises(errors.FindingsError) as caught:
+            settings.read_settings(text, "entry.ini")
+        self.assertIn("admin_token_sha256", str(caught.exception))
+
+
+class DocumentTest(unittest.TestCase):
+    def test_valid(self):
+        document = documents.read_document(support.document_text(), "d")
+        self.assertTrue(document.accepts_token(support.TOKEN))
+        self.assertFalse(document.accepts_token("x"))
+        self.assertFalse(document.kinds["alert"].idempotent)
+
+    def test_contradictions_are_found_together(self):
+        text = (
+            "[service]\nteam = a\nquota_slots = 1\nquota_starts = 1000\n"
+            "[tokens]\none = plain\n"
+            "[limits]\nmax_payload_bytes = 2000\nmax_queued_bytes = 1000\n"
+            "[kind k]\ndeclared_ms = 500\ndeadline_ms = 100\n"
+        )
+        with self.assertRaises(errors.FindingsError) as caught:
+            documents.read_document(text, "d.ini")
+        keys = {f.key for f in caught.exception.findings}
+        self.assertEqual(
+            keys, {"one", "max_payload_bytes", "declared_ms", "quota_starts"}
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/acacialine/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Helper programs: stand-ins, fault proxy, checker, demo and bench."""
--- /dev/null
+++ b/acacialine/tools/local.py
@@ -0,0 +1,86 @@
+"""A whole installation in one process, for the demo and quick tests."""
+
+import contextlib
+import pathlib
+
+import attrs
+import trio
+
+from acacialine import clock
+from acacialine import configlog
+from acacialine import entry as entry_lib
+from acacialine import settings as settings_lib
+from acacialine.tools import backend as backend_tool
+from acacialine.tools import http
+from acacialine.tools import layout as layout_lib
+from acacialine.tools import platform as platform_tool
+
+READY_TIMEOUT_S = 20.0
+READY_POLL_S = 0.02
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+
+
+@attrs.define(eq=False)
+class Local:
+    """The running parts."""
+
+    layout: layout_lib.Layout
+    platform: platform_tool.PlatformStandin
+    backends: dict[str, backend_tool.BackendStandin]
+    entries: dict[str, entry_lib.Entry]
+
+    def publish(self, team: str, text: str, base: int = 0) -> int:
+        """Appends a document to the log without further ado."""
+        change = configlog.Change(f"{team}-{base}", team, base, text, "local")
+        record = configlog.Record(change=change)
+        return self.platform.append("config", configlog.encode_record(record))
+
+    async def wait_ready(self) -> None:
+        """Waits until every backend server has a granting broker."""
+        with trio.fail_after(READY_TIMEOUT_S):
+            while not self._is_ready():
+                await trio.sleep(READY_POLL_S)
+
+    def _is_ready(self) -> bool:
+        now = clock.now()
+        granting = 0
+        for entry in self.entries.values():
+            if not entry.tables.fold.documents and self.platform.streams:
+                return False
+            if len(entry.tables.peers) < len(self.entries) - 1:
+                return False
+            granting += sum(
+                b.owned_since is not None and now >= b.grants_from
+                for b in entry.tables.backends.values()
+            )
+        return granting == len(self.backends)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    layout: layout_lib.Layout,
+    extra: dict[str, dict[str, object]] | None = None,
+    idle_s: float = 30.0,
+):
+    """Runs everything of a layout for the length of a block."""
+    platform = platform_tool.PlatformStandin()
+    local = Local(layout, platform, {}, {})
+    for vm in layout_lib.vms_of(layout):
+        platform.set_vm(vm)
+    async with trio.open_nursery() as nursery:
+        app = platform_tool.new_asgi_app(platform)
+        await nursery.start(http.new_server(app, layout.platform))
+        for plan in layout.backends:
+            standin = backend_tool.BackendStandin(plan.name)
+            local.backends[plan.name] = standin
+            app = backend_tool.new_asgi_app(standin)
+            await nursery.start(http.new_server(app, plan.address, idle_s))
+        url = "http://" + layout_lib.text_of(layout.platform)
+        for plan in layout.entries:
+            text = layout_lib.settings_text(plan, url, extra)
+            settings = settings_lib.read_settings(text, plan.name)
+            entry = entry_lib.new_entry(settings)
+            local.entries[plan.name] = entry
+            await nursery.start(entry.run)
+        yield local
+        nursery.cancel_scope.cancel()
