Property tests of the core

Cause: the promises of the core were untested under duplicates, lost messages, crashes, pauses, cuts and epochs. Change: a network of cores with a virtual clock, and hypothesis state machines in one and two zones over it; the decision to accept a relay is in the broker.

--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -439,6 +439,24 @@
             break
 
 
+def accept_relay(
+    tables: tables_lib.Tables, sender: str, seq: int, backend_id: str
+) -> tables_lib.Backend | None:
+    """Accepts a relayed start under a grant, once.
+
+    Returns:
+        The backend server, or None if the start is refused.
+    """
+    backend = tables.backends.get(backend_id)
+    slot = backend.held.get(seq) if backend else None
+    if slot is None or slot.holder != sender or slot.used:
+        return None
+    if backend.leaving:
+        return None
+    slot.used = True
+    return backend
+
+
 def reconcile(
     tables: tables_lib.Tables, beat: messages.Heartbeat, now: float
 ) -> None:
--- a/acacialine/runner.py
+++ b/acacialine/runner.py
@@ -134,13 +134,12 @@
         Each grant serves one start: the slot is marked as used before
         anything is sent.
         """
-        backend = self._tables.backends.get(call.backend_id)
-        slot = backend.held.get(call.seq) if backend else None
-        valid = slot is not None and slot.holder == sender and not slot.used
-        connections = self._connections_to(call.backend_id)
-        if not valid or backend.leaving or connections is None:
+        backend = broker.accept_relay(
+            self._tables, sender, call.seq, call.backend_id
+        )
+        if backend is None:
             return messages.RelayReply(_NOT_STARTED, 0, "", "refused", b"")
-        slot.used = True
+        connections = self._connections_to(call.backend_id)
         now = clock.now()
         start = starter.Start(
             call.task_id,
--- /dev/null
+++ b/acacialine/tests/test_core_properties.py
@@ -0,0 +1,174 @@
+"""Stateful property tests of the core; `make fuzz` runs them longer."""
+
+import os
+import random
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from acacialine import submissions
+from acacialine.tests import network as network_lib
+
+FUZZ = bool(os.environ.get("ACACIALINE_FUZZ"))
+SLOTS = 8
+NODES = 3
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Submissions, faults and time in any order."""
+
+    zones: tuple[str, ...] = ("zone-a",)
+
+    def __init__(self):
+        super().__init__()
+        self.net = network_lib.Network(NODES, 2, self.zones)
+        self.texts: list[str] = []
+        self.refuse_next = 0
+        self.net.on_start = self._refuses
+
+    def _refuses(self) -> bool:
+        self.refuse_next -= 1
+        return self.refuse_next >= 0
+
+    @stateful.rule(
+        node=st.integers(0, NODES - 1),
+        via=st.integers(0, NODES - 1),
+        count=st.integers(1, 30),
+    )
+    def submit_new(self, node, via, count):
+        prefix = submissions.prefix(self.net.nodes[node].core.tables)
+        text = f"{prefix}/k{len(self.texts)}"
+        self.texts.append(text)
+        self.net.submit(via, text, count, b"body")
+
+    @stateful.rule(
+        pick=st.integers(0, 1000),
+        via=st.integers(0, NODES - 1),
+        count=st.integers(1, 30),
+        body=st.sampled_from([b"body", b"body", b"other"]),
+    )
+    def submit_again(self, pick, via, count, body):
+        if self.texts:
+            text = self.texts[pick % len(self.texts)]
+            self.net.submit(via, text, count, body)
+
+    @stateful.rule(seconds=st.sampled_from([0.001, 0.02, 0.1, 0.4, 1.0]))
+    def pass_time(self, seconds):
+        self.net.step(seconds)
+
+    @stateful.rule(
+        pick=st.integers(0, 1000),
+        how=st.sampled_from(["ok", "ok", "ok", "failed", "lost"]),
+    )
+    def finish_attempt(self, pick, how):
+        if self.net.attempts:
+            index = pick % len(self.net.attempts)
+            self.net.finish(self.net.attempts[index], how)
+
+    @stateful.rule(count=st.integers(1, 12))
+    def finish_many(self, count):
+        for attempt in self.net.attempts[:count]:
+            self.net.finish(attempt, "ok")
+
+    @stateful.rule(count=st.integers(1, 5))
+    def refuse_starts(self, count):
+        self.refuse_next = count
+
+    @stateful.rule(
+        one=st.integers(0, NODES - 1), other=st.integers(0, NODES - 1)
+    )
+    def lose_messages(self, one, other):
+        if one != other:
+            self.net.lose(one, other)
+
+    @stateful.rule(
+        one=st.integers(0, NODES - 1), other=st.integers(0, NODES - 1)
+    )
+    def cut_or_heal(self, one, other):
+        if one != other:
+            self.net.cut ^= {frozenset((one, other))}
+
+    @stateful.rule(node=st.integers(0, NODES - 1))
+    def crash(self, node):
+        self.net.crash(node)
+
+    @stateful.rule(node=st.integers(0, NODES - 1), seconds=st.floats(0.1, 3.0))
+    def pause(self, node, seconds):
+        self.net.nodes[node].paused_until = self.net.now + seconds
+
+    @stateful.rule(node=st.integers(0, NODES - 1))
+    def next_epoch(self, node):
+        tables = self.net.nodes[node].core.tables
+        submissions.advance_epoch(tables, self.net.now)
+
+    @stateful.rule(node=st.integers(0, NODES - 1), index=st.integers(0, 1))
+    def leave(self, node, index):
+        core = self.net.nodes[node].core
+        self.net.show_vms(core, frozenset({f"b{index}"}))
+
+    @stateful.invariant()
+    def promises_hold(self):
+        self.net.check()
+
+    @stateful.invariant()
+    def slots_are_bounded(self):
+        # Two brokers that cannot hear each other each keep to the slots.
+        for backend_id, peak in self.net.peak.items():
+            assert peak <= NODES * SLOTS, f"{backend_id}: {peak}"
+
+
+class TwoZonesMachine(Machine):
+    """The same with relays between two zones."""
+
+    zones = ("zone-a", "zone-b")
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=2000 if FUZZ else 40,
+    stateful_step_count=80 if FUZZ else 40,
+    derandomize=not FUZZ,
+    deadline=None,
+    database=None,
+    print_blob=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+if FUZZ:
+    _SEED = int(os.environ.get("ACACIALINE_SEED", random.randrange(1 << 32)))
+    print(f"fuzz seed: ACACIALINE_SEED={_SEED}")
+    Machine = hypothesis.seed(_SEED)(Machine)
+    TwoZonesMachine = hypothesis.seed(_SEED)(TwoZonesMachine)
+
+OneZoneTest = Machine.TestCase
+OneZoneTest.settings = SETTINGS
+TwoZonesTest = TwoZonesMachine.TestCase
+TwoZonesTest.settings = SETTINGS
+
+
+class SlotsWithoutDisagreementTest(unittest.TestCase):
+    """While all entries hear each other, slots are exact."""
+
+    def test_slots_are_exact(self):
+        for seed in range(5):
+            net = network_lib.Network(NODES, 2)
+            rng = random.Random(seed)
+            for number in range(300):
+                via = rng.randrange(NODES)
+                prefix = submissions.prefix(net.nodes[via].core.tables)
+                if rng.random() < 0.3:
+                    text = f"{prefix}/k{number}"
+                    net.submit(via, text, rng.randrange(1, 20), b"body")
+                net.step(0.01)
+                for attempt in list(net.attempts):
+                    if rng.random() < 0.2:
+                        net.finish(attempt, "ok")
+                net.check()
+            self.assertGreater(sum(net.starts.values()), 100)
+            self.assertLessEqual(max(net.peak.values()), SLOTS)
+
+
+del Machine, TwoZonesMachine
+
+if __name__ == "__main__":
+    unittest.main()
