--- a/acacialine/tests/support.py
+++ b/acacialine/tests/support.py
@@ -54,7 +54,9 @@
         ("127.0.0.1", 2),
         ("127.0.0.1", 3),
     )
-    extra = {**FAST, "placement": placement}
+    # Small bounds, so that answers and tombstones are forgotten soon.
+    kept = {"answer_bytes": 1500, "tombstones": 24}
+    extra = {**FAST, "placement": placement, "submissions": kept}
     text = layout_lib.settings_text(plan, "http://127.0.0.1:9", extra)
     return settings_lib.read_settings(text, "test")
 
--- a/acacialine/tests/test_core_properties.py
+++ b/acacialine/tests/test_core_properties.py
@@ -54,59 +54,61 @@
             text = self.texts[pick % len(self.texts)]
             self.net.submit(via, text, count, body)
 
-    @stateful.rule(seconds=st.sampled_from([0.001, 0.02, 0.1, 0.4, 1.0]))
-    def pass_time(self, seconds):
-        self.net.step(seconds)
+    @stateful.rule(steps=st.integers(0, 6))
+    def resubmission_storm(self, steps):
+        for _ in range(steps):
+            self.net.step(0.2)
+        for text in self.texts[-12:]:
+            for via in range(NODES):
+                self.net.submit(via, text, 3, b"body")
 
     @stateful.rule(
-        pick=st.integers(0, 1000),
-        how=st.sampled_from(["ok", "ok", "ok", "failed", "lost"]),
+        steps=st.integers(1, 12), seconds=st.sampled_from([0.005, 0.05, 0.2])
     )
-    def finish_attempt(self, pick, how):
-        if self.net.attempts:
-            index = pick % len(self.net.attempts)
-            self.net.finish(self.net.attempts[index], how)
+    def pass_time(self, steps, seconds):
+        for _ in range(steps):
+            self.net.step(seconds)
 
-    @stateful.rule(count=st.integers(1, 12))
-    def finish_many(self, count):
+    @stateful.rule(
+        count=st.integers(1, 10),
+        how=st.sampled_from(["ok", "ok", "failed", "lost"]),
+    )
+    def finish_attempts(self, count, how):
         for attempt in self.net.attempts[:count]:
-            self.net.finish(attempt, "ok")
+            self.net.finish(attempt, how)
 
     @stateful.rule(count=st.integers(1, 5))
     def refuse_starts(self, count):
         self.refuse_next = count
 
     @stateful.rule(
-        one=st.integers(0, NODES - 1), other=st.integers(0, NODES - 1)
-    )
-    def lose_messages(self, one, other):
-        if one != other:
-            self.net.lose(one, other)
-
-    @stateful.rule(
-        one=st.integers(0, NODES - 1), other=st.integers(0, NODES - 1)
+        fault=st.sampled_from(
+            ["lose", "cut", "heal", "crash", "pause", "epochs", "leave"]
+        ),
+        node=st.integers(0, NODES - 1),
+        other=st.integers(1, NODES - 1),
+        seconds=st.floats(0.1, 3.0),
     )
-    def cut_or_heal(self, one, other):
-        if one != other:
-            self.net.cut ^= {frozenset((one, other))}
-
-    @stateful.rule(node=st.integers(0, NODES - 1))
-    def crash(self, node):
-        self.net.crash(node)
-
-    @stateful.rule(node=st.integers(0, NODES - 1), seconds=st.floats(0.1, 3.0))
-    def pause(self, node, seconds):
-        self.net.nodes[node].paused_until = self.net.now + seconds
-
-    @stateful.rule(node=st.integers(0, NODES - 1))
-    def next_epoch(self, node):
-        tables = self.net.nodes[node].core.tables
-        submissions.advance_epoch(tables, self.net.now)
-
-    @stateful.rule(node=st.integers(0, NODES - 1), index=st.integers(0, 1))
-    def leave(self, node, index):
-        core = self.net.nodes[node].core
-        self.net.show_vms(core, frozenset({f"b{index}"}))
+    def fault(self, fault, node, other, seconds):
+        net = self.net
+        other = (node + other) % NODES
+        core = net.nodes[node].core
+        match fault:
+            case "lose":
+                net.lose(node, other)
+            case "cut":
+                net.cut.add(frozenset((node, other)))
+            case "heal":
+                net.cut.clear()
+            case "crash":
+                net.crash(node)
+            case "pause":
+                net.nodes[node].paused_until = net.now + seconds
+            case "epochs":
+                for _ in range(other + 4):
+                    submissions.advance_epoch(core.tables, net.now)
+            case "leave":
+                net.show_vms(core, frozenset({f"b{other % 2}"}))
 
     @stateful.invariant()
     def promises_hold(self):
@@ -132,6 +134,7 @@
     deadline=None,
     database=None,
     print_blob=True,
+    phases=list(hypothesis.Phase)[: 6 if FUZZ else 3],
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 if FUZZ:
