--- a/acacialine/membership.py
+++ b/acacialine/membership.py
@@ -66,17 +66,9 @@
                 grants_in_s=grace_s,
             )
         elif not mine and backend.owned_since is not None:
-            _yield_backend(tables, backend)
-
-
-def _yield_backend(
-    tables: tables_lib.Tables, backend: tables_lib.Backend
-) -> None:
-    """Stops brokering; the slots of its holders are reported by them."""
-    backend.owned_since = None
-    for slot in list(backend.held.values()):
-        if slot.holder != tables.my_id:
-            broker.free(tables, backend, slot.seq)
+            # Slots given out stay recorded until they are given back, in
+            # case this entry becomes the broker again before that.
+            backend.owned_since = None
 
 
 def apply_vms(
