--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -408,7 +408,7 @@
     if peer is None or peer.given_seq <= seq:
         return 0
     count = 0
-    for backend in owned(tables):
+    for backend in tables.backends.values():
         for slot in backend.held.values():
             if slot.seq > seq and slot.holder == holder and slot.group is group:
                 count += 1
@@ -466,7 +466,7 @@
     for report in beat.held:
         count = foreign.get(report.backend_id, 0)
         foreign[report.backend_id] = count + 1
-    for backend in owned(tables):
+    for backend in tables.backends.values():
         for slot in list(backend.held.values()):
             if slot.holder != beat.sender:
                 continue
@@ -491,7 +491,7 @@
 
 def run_leases(tables: tables_lib.Tables, now: float) -> None:
     """Frees slots whose lease has passed with nobody to report it."""
-    for backend in owned(tables):
+    for backend in tables.backends.values():
         late = [s for s in backend.held.values() if s.lease_until <= now]
         for slot in late:
             free(tables, backend, slot.seq)
