--- a/acacialine/tests/network.py
+++ b/acacialine/tests/network.py
@@ -106,6 +106,10 @@
     def step(self, seconds: float) -> None:
         """Lets time pass, ticks every core and delivers all messages."""
         self.now += seconds
+        for attempt in list(self.attempts):
+            # A backend server ends a task when its lease has passed.
+            if attempt.action.task.job.deadline < self.now:
+                self.finish(attempt, "lost")
         for node in self.nodes:
             if node.paused_until <= self.now:
                 self._introduce(node)
