--- a/acacialine/tests/test_core_properties.py
+++ b/acacialine/tests/test_core_properties.py
@@ -62,6 +62,22 @@
             for via in range(NODES):
                 self.net.submit(via, text, 3, b"body")
 
+    @stateful.rule(
+        node=st.integers(0, NODES - 1), what=st.sampled_from(["crash", "old"])
+    )
+    def forget_and_resubmit(self, node, what):
+        for _ in range(3):
+            self.net.step(0.1)
+        for attempt in list(self.net.attempts):
+            self.net.finish(attempt, "ok")
+        if what == "crash":
+            self.net.crash(node)
+        else:
+            tables = self.net.nodes[node].core.tables
+            for _ in range(tables.settings.submissions.epochs_kept + 1):
+                submissions.advance_epoch(tables, self.net.now)
+        self.resubmission_storm(6)
+
     @stateful.rule(
         steps=st.integers(1, 12), seconds=st.sampled_from([0.005, 0.05, 0.2])
     )
@@ -83,7 +99,7 @@
 
     @stateful.rule(
         fault=st.sampled_from(
-            ["lose", "cut", "heal", "crash", "pause", "epochs", "leave"]
+            ["lose", "cut", "heal", "crash", "pause", "leave"]
         ),
         node=st.integers(0, NODES - 1),
         other=st.integers(1, NODES - 1),
@@ -104,9 +120,6 @@
                 net.crash(node)
             case "pause":
                 net.nodes[node].paused_until = net.now + seconds
-            case "epochs":
-                for _ in range(other + 4):
-                    submissions.advance_epoch(core.tables, net.now)
             case "leave":
                 net.show_vms(core, frozenset({f"b{other % 2}"}))
 
