--- a/acacialine/admin.py
+++ b/acacialine/admin.py
@@ -26,6 +26,7 @@
     config_offset: int
     slots: int
     free: int
+    granting: int
     work_s: float
     age_ms: int
     caller_address: str
@@ -114,6 +115,7 @@
         tables.fold.offset,
         slots,
         free,
+        broker.granting_slots(tables, now),
         round(tables.work_s, 3),
         0,
         "{}:{}".format(*tables.settings.entry.caller_address),
@@ -127,6 +129,7 @@
             p.config_offset,
             p.load.slots,
             p.load.free,
+            p.load.slots,
             round(p.load.work_s, 3),
             int((now - p.known_at) * 1000),
             p.caller_address,
--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -52,6 +52,11 @@
     return total, free
 
 
+def granting_slots(tables: tables_lib.Tables, now: float) -> int:
+    """Returns the slots of the owned backend servers past their grace."""
+    return sum(b.slots for b in owned(tables) if now >= b.grants_from)
+
+
 def hold(
     tables: tables_lib.Tables,
     backend: tables_lib.Backend,
--- a/acacialine/entry.py
+++ b/acacialine/entry.py
@@ -339,7 +339,7 @@
 def new_entry(settings: settings_lib.Settings) -> Entry:
     """Creates an entry from its settings."""
     log_settings = settings.log
-    me = ids.new_incarnation(*settings.entry.peer_address)
+    me = ids.new_incarnation(*settings.entry.dialled_address)
     identity = links.Identity(
         me,
         settings.entry.peer_keys,
--- a/acacialine/ids.py
+++ b/acacialine/ids.py
@@ -7,6 +7,7 @@
 import hashlib
 import re
 import secrets
+import time
 
 import attrs
 
@@ -23,7 +24,8 @@
     Attributes:
         host: IP of the peer listener.
         port: Port of the peer listener.
-        nonce: 16 hexadecimal digits chosen at start.
+        nonce: 16 hexadecimal digits: the start time in s, then random bits,
+            so that of two at one address the later has the higher one.
     """
 
     host: str
@@ -53,7 +55,8 @@
 
 def new_incarnation(host: str, port: int) -> Incarnation:
     """Creates the identity of a starting process."""
-    return Incarnation(host, port, secrets.token_hex(8))
+    nonce = f"{int(time.time()):08x}{secrets.token_hex(4)}"
+    return Incarnation(host, port, nonce)
 
 
 def new_key() -> str:
--- a/acacialine/membership.py
+++ b/acacialine/membership.py
@@ -14,6 +14,7 @@
 MEMBERS_PER_BEAT = 6
 BACKENDS_PER_BEAT = 32
 DEAD_KEPT_S = 600.0
+RESTARTED = "restarted"
 JITTER = 0.1  # part of an interval
 
 
@@ -143,6 +144,8 @@
     peer = tables.peers.get(beat.sender)
     if peer is None:
         peer = _add_peer(tables, beat.sender, beat.name, beat.zone, now)
+    if peer is None:
+        return
     if beat.beat < peer.beat or peer.state == "left":
         return
     peer.beat = beat.beat
@@ -176,10 +179,11 @@
     known_at = now - report.age_ms / 1000
     peer = tables.peers.get(known)
     if peer is None:
-        if report.state not in ("live", "draining"):
+        silent_s = tables.settings.membership.dead_ms / 1000
+        if known_at < now - silent_s:
             return
         peer = _add_peer(tables, known, report.name, report.zone, known_at)
-    if known_at > peer.known_at:
+    if peer and known_at > peer.known_at:
         peer.known_at = known_at
         peer.config_offset = max(peer.config_offset, report.config_offset)
         peer.caller_address = report.caller_address
@@ -187,14 +191,18 @@
 
 def _add_peer(
     tables: tables_lib.Tables, peer_id: str, name: str, zone: str, now: float
-) -> tables_lib.Peer:
+) -> tables_lib.Peer | None:
+    """Adds a peer, unless a later incarnation has its address."""
     peer = tables_lib.Peer(
         ids.parse_incarnation(peer_id), name, zone, known_at=now
     )
     for other in list(tables.peers.values()):
-        same = other.incarnation.address == peer.incarnation.address
-        if same and other.state != "left":
-            bury_peer(tables, other, "restarted", now)
+        if other.incarnation.address != peer.incarnation.address:
+            continue
+        if other.incarnation.nonce > peer.incarnation.nonce:
+            return None
+        if other.state != "left":
+            bury_peer(tables, other, RESTARTED, now)
     tables.peers[peer_id] = peer
     actions.log_event(
         tables, events.Event.PEER_JOINED, peer=peer_id, name=name, zone=zone
@@ -229,9 +237,14 @@
     reason: str,
     now: float,
 ) -> None:
-    """Counts a peer as dead for good; its incarnation never comes back."""
+    """Counts a peer as dead.
+
+    One that was only silent may be heard again, after a pause or a cut. One
+    whose address another incarnation has taken never comes back.
+    """
     tables.peers.pop(peer.id, None)
-    tables.dead[peer.id] = now
+    if reason == RESTARTED:
+        tables.dead[peer.id] = now
     broker.holder_gone(tables, peer.id)
     actions.log_event(
         tables, events.Event.PEER_DEAD, peer=peer.id, reason=reason
--- a/acacialine/settings.py
+++ b/acacialine/settings.py
@@ -25,6 +25,12 @@
             "127.0.0.1:7101",
             "IP:port on which other entries connect.",
         ),
+        ini.Option(
+            "peer_advertise",
+            ini.string,
+            "",
+            "IP:port that other entries dial, if not peer_address.",
+        ),
         ini.Option(
             "admin_address",
             ini.address,
@@ -261,11 +267,19 @@
     region: str
     caller_address: tuple[str, int]
     peer_address: tuple[str, int]
+    peer_advertise: str
     admin_address: tuple[str, int]
     admin_token_sha256: str
     peers: tuple[tuple[str, int], ...]
     peer_keys: tuple[str, ...] = attrs.field(repr=False)
 
+    @property
+    def dialled_address(self) -> tuple[str, int]:
+        """The address at which other entries reach this one."""
+        if self.peer_advertise:
+            return ini.address(self.peer_advertise)
+        return self.peer_address
+
 
 @attrs.frozen
 class PlatformSettings:
@@ -398,6 +412,11 @@
 def _check_together(parsed: ini.Text, sections: dict) -> None:
     """Adds findings for values that contradict each other."""
     entry = sections["entry"]
+    if entry.get("peer_advertise"):
+        try:
+            ini.address(entry["peer_advertise"])
+        except ValueError as error:
+            parsed.add("entry", "peer_advertise", str(error))
     host = entry.get("admin_address", ("127.0.0.1", 0))[0]
     if not host.startswith(_LOOPBACK) and not entry.get("admin_token_sha256"):
         parsed.add("entry", "admin_token_sha256", "is required beyond loopback")
--- a/acacialine/tests/support.py
+++ b/acacialine/tests/support.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 
+import attrs
 import httpcore
 import msgspec
 import trio
@@ -72,6 +73,11 @@
     return core_lib.new_core(tables)
 
 
+def leaving(listed: platforms.Vm) -> platforms.Vm:
+    """Returns a VM of the list as leaving."""
+    return attrs.evolve(listed, state="leaving")
+
+
 def vm(name: str, zone: str = "zone-a", **changes) -> platforms.Vm:
     """Returns a backend server of the VM list."""
     values = {"role": "backend", "address": "127.0.0.1:9", "zone": zone}
