--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -117,6 +117,42 @@
     _serve_forever(backend.new_asgi_app(state), address, idle_s)
 
 
+@cli.group()
+def bench() -> None:
+    """Measures the product with stand-ins as real processes."""
+
+
+_FORMAT = click.option(
+    "--format",
+    "form",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    show_default=True,
+)
+
+
+def _print_figures(figures, form: str) -> None:
+    import attrs
+    import msgspec
+
+    if form == "json":
+        click.echo(msgspec.json.encode(figures).decode())
+        return
+    for name, value in attrs.asdict(figures).items():
+        click.echo(f"{name:28s} {value}")
+
+
+@bench.command("start-cost")
+@_FORMAT
+def bench_start_cost(form: str) -> None:
+    """CPU time of one task start, beside a bare httpcore loop."""
+    import trio
+
+    from acacialine.tools import startcost
+
+    _print_figures(trio.run(startcost.measure), form)
+
+
 def main() -> None:
     """Runs the command line; errors become messages and exit codes."""
     try:
