--- a/acacialine/tools/backend.py
+++ b/acacialine/tools/backend.py
@@ -128,10 +128,9 @@
             refused = ((b"not-run", b"1"), (b"task-id", task.encode()))
             await http.reply(send, 503, b"{}", refused)
             return
-        body = await http.read_body(receive)
         scope_of_task = trio.CancelScope()
         standin.running[task] = scope_of_task
-        payload = _payload_of(body)
+        payload = _payload_of(await http.read_body(receive))
         run_ms = payload.run_ms * behaviour.slowdown
         standin.note("start", task, kind, run_ms)
         lease_s = int(headers.get(b"lease-ms", b"0")) / 1000 or math.inf
--- a/acacialine/tools/layout.py
+++ b/acacialine/tools/layout.py
@@ -1,5 +1,7 @@
 """Layouts of entries, backend servers and a platform on loopback."""
 
+import contextlib
+import random
 import socket
 
 import attrs
@@ -7,6 +9,7 @@
 from acacialine import platforms
 
 PEER_KEY = "bench-key"
+PORT_RANGE = (15000, 32000)
 
 
 @attrs.frozen
@@ -40,15 +43,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
-        one = socket.socket()
-        one.bind(("127.0.0.1", 0))
-        sockets.append(one)
-    ports = [s.getsockname()[1] for s in sockets]
-    for one in sockets:
-        one.close()
+    """Returns ports that were free a moment ago.
+
+    They lie below the range from which outgoing connections take theirs.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in ports:
+            continue
+        with socket.socket() as one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                one.bind(("127.0.0.1", port))
+                ports.append(port)
     return ports
 
 
--- a/acacialine/tools/processes.py
+++ b/acacialine/tools/processes.py
@@ -204,9 +204,29 @@
     async def wait_ready(self) -> None:
         """Waits until every running entry sees all others and slots."""
         plans = [e for e in self.layout.entries if e.name in self.running]
-        with trio.fail_after(READY_TIMEOUT_S):
+        with trio.move_on_after(READY_TIMEOUT_S):
             while not await self._is_ready(plans):
                 await trio.sleep(READY_POLL_S)
+            return
+        raise RuntimeError(await self._why_not_ready(plans))
+
+    async def _why_not_ready(self, plans) -> str:
+        """Describes an installation that does not get ready."""
+        lines = [
+            f"{name} exited with {process.poll()}"
+            for name, process in self.running.items()
+            if process.poll() is not None
+        ]
+        for plan in plans:
+            status = await self.status(plan)
+            if status is None:
+                log_path = self.folder / f"{plan.name}.log"
+                tail = log_path.read_text()[-500:]
+                lines.append(f"{plan.name}: no answer; log: {tail}")
+                continue
+            seen = [(e.name, e.state, e.granting) for e in status.entries]
+            lines.append(f"{plan.name}: {status.config_offset} {seen}")
+        return "\n".join(lines)
 
     async def _is_ready(self, plans) -> bool:
         slots = 0
