--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -200,6 +200,15 @@
         click.echo(f"{name:26s}" + "".join(f"{v!s:>14s}" for v in values))
 
 
+@standin.command("proxy")
+@click.argument("path", type=click.Path(exists=True, dir_okay=False))
+def standin_proxy(path) -> None:
+    """Serves the proxy routes of a JSON file."""
+    from acacialine.tools import proxyserver
+
+    proxyserver.main(path)
+
+
 def main() -> None:
     """Runs the command line; errors become messages and exit codes."""
     try:
--- a/acacialine/tools/benchrun.py
+++ b/acacialine/tools/benchrun.py
@@ -196,7 +196,7 @@
         extra,
         zone_delay_s=ZONE_DELAY_S,
         caller_delay_s=CALLER_DELAY_S,
-        proxy_backends=plan.scenario == "faults",
+        faults=plan.scenario == "faults",
     ) as parts:
         loader = Loader(parts, deployment)
         await loader.open()
--- a/acacialine/tools/processes.py
+++ b/acacialine/tools/processes.py
@@ -21,6 +21,7 @@
 from acacialine import platforms
 from acacialine.tools import faultproxy
 from acacialine.tools import layout as layout_lib
+from acacialine.tools import proxyserver
 
 READY_TIMEOUT_S = 40.0
 READY_POLL_S = 0.1
@@ -95,6 +96,34 @@
                 stderr=output,
             )
 
+    def start_proxies(self, caller_delay_s: float) -> None:
+        """Starts the routes with delays only, in processes of their own."""
+        entries = self.layout.entries
+        ports = iter(layout_lib.free_ports(2 * len(entries)))
+        callers, peers = [], []
+        zone_by_port = {}
+        for plan in entries:
+            caller = ("127.0.0.1", next(ports))
+            peer = ("127.0.0.1", next(ports))
+            zone_by_port[peer[1]] = plan.zone
+            self.caller_routes[plan.name] = faultproxy.Route(
+                caller, plan.caller
+            )
+            self.peer_routes[plan.name] = faultproxy.Route(peer, plan.peer)
+            callers.append(
+                proxyserver.RouteSpec(caller, plan.caller, caller_delay_s)
+            )
+            peers.append(
+                proxyserver.RouteSpec(
+                    peer, plan.peer, self.zone_delay_s, plan.zone
+                )
+            )
+        for name, routes in (("callers", callers), ("peers", peers)):
+            path = self.folder / f"proxy-{name}.json"
+            spec = proxyserver.ProxySpec(routes, zone_by_port)
+            path.write_bytes(msgspec.json.encode(spec))
+            self._start(f"proxy-{name}", "standin", "proxy", str(path))
+
     def start_platform(self, retention_s: float = 86400.0) -> None:
         """Starts the platform with the proxied addresses in its list."""
         vms_path = self.folder / "vms.json"
@@ -293,15 +322,18 @@
     zone_delay_s: float = 0.0,
     caller_delay_s: float = 0.0,
     retention_s: float = 86400.0,
-    proxy_backends: bool = True,
+    faults: bool = True,
 ):
     """Runs an installation of processes for the length of a block."""
     with tempfile.TemporaryDirectory(prefix="acacialine-") as folder:
         path = pathlib.Path(folder)
         parts = Processes(layout, path, extra or {}, zone_delay_s)
         async with trio.open_nursery() as nursery:
-            await _open_routes(nursery, parts, caller_delay_s, proxy_backends)
             try:
+                if faults:
+                    await _open_routes(nursery, parts, caller_delay_s)
+                else:
+                    parts.start_proxies(caller_delay_s)
                 parts.start_platform(retention_s)
                 for backend in layout.backends:
                     parts.start_backend(backend)
@@ -318,11 +350,9 @@
 
 
 async def _open_routes(
-    nursery: trio.Nursery,
-    parts: Processes,
-    caller_delay_s: float,
-    proxy_backends: bool,
+    nursery: trio.Nursery, parts: Processes, caller_delay_s: float
 ) -> None:
+    """Opens every route in this process, where faults can be injected."""
     layout = parts.layout
     count = 2 * len(layout.entries) + len(layout.backends)
     ports = iter(layout_lib.free_ports(count))
@@ -343,7 +373,7 @@
                 name, sender
             ),
         )
-    for backend in layout.backends if proxy_backends else []:
+    for backend in layout.backends:
         parts.backend_routes[backend.name] = await open_route(backend.address)
 
 
