Estimates lean on their kind; long work has no second place in the order

Cause: a lone task of 0.5 s waited 3.6 s. Its declared size was off by 10 x, its bucket had learned from one task of 3 s, so it counted as long, and long work came after all short work whatever its age. Change: an estimate weighs its kind's mean as 8 successes; the order among waiting is the rank alone (remaining work with ageing), the class only caps.

--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -260,7 +260,7 @@
             shares[team] = document.weight if document else 1.0
         held = tables.team_usage(team).held
         share = held / shares[team]
-        return share, candidate.group.is_long, candidate.rank
+        return share, candidate.rank
 
     return key
 
--- a/acacialine/estimates.py
+++ b/acacialine/estimates.py
@@ -6,6 +6,7 @@
 from acacialine import tables as tables_lib
 
 SMOOTHING = 0.1
+PRIOR_COUNT = 8  # successes of a key that weigh as much as its kind's mean
 MIN_S = 0.001
 
 
@@ -27,13 +28,14 @@
     declared_ms: float | None,
 ) -> float:
     """Returns the expected run time of a task, in s."""
+    overall = tables.estimates.get(key[:2])
+    if overall is None:
+        return (declared_ms or kind.declared_ms) / 1000
     estimate = tables.estimates.get(key)
     if estimate is None:
-        overall = tables.estimates.get(key[:2])
-        if overall is None:
-            return (declared_ms or kind.declared_ms) / 1000
         return overall.mean_s
-    return estimate.mean_s
+    weight = estimate.count / (estimate.count + PRIOR_COUNT)
+    return weight * estimate.mean_s + (1 - weight) * overall.mean_s
 
 
 def learn(
