A granted slot may run any work of its team that needs no more

Cause: a lone gate check waited 45 ms while slots granted for reroute plans came in and started tasks of a large job: grants were bound to the kind they had been asked for. Change: a grant takes the team's first task whose kind needs no more resources; long work still needs a grant for long work.

--- a/acacialine/asks.py
+++ b/acacialine/asks.py
@@ -241,7 +241,7 @@
         if backend is None or backend.leaving:
             _return_unused(tables, grant, "backend is leaving", now)
             continue
-        task = queues.take(tables, grant.group)
+        task = queues.take_best(tables, grant.group)
         if task is None:
             _return_unused(tables, grant, "no task waits", now)
             continue
--- a/acacialine/queues.py
+++ b/acacialine/queues.py
@@ -132,6 +132,47 @@
     return task
 
 
+def take_best(
+    tables: tables_lib.Tables, granted: tables_lib.Group
+) -> tables_lib.Task | None:
+    """Takes the team's first task that a slot granted for a group can run.
+
+    Grants are bound late: work that came after the ask, and goes first, may
+    use the slot if it needs no more than what was granted.
+    """
+    best_group = None
+    best_rank = float("inf")
+    for group, count in tables.waiting.items():
+        if count <= 0 or not _may_use(tables, group, granted):
+            continue
+        job = best(tables, group)
+        if job is not None and rank_of(tables, job) < best_rank:
+            best_group = group
+            best_rank = rank_of(tables, job)
+    return take(tables, best_group) if best_group else None
+
+
+def _may_use(
+    tables: tables_lib.Tables,
+    group: tables_lib.Group,
+    granted: tables_lib.Group,
+) -> bool:
+    """Returns whether work of a group fits a slot granted for another."""
+    if group is granted:
+        return True
+    if group.team != granted.team or (group.is_long and not granted.is_long):
+        return False
+    kinds = tables.fold.documents[group.team].kinds
+    need, have = kinds.get(group.kind), kinds.get(granted.kind)
+    if need is None or have is None:
+        return False
+    return (
+        need.cpus <= have.cpus
+        and need.memory_mb <= have.memory_mb
+        and need.accelerators <= have.accelerators
+    )
+
+
 def wanted(tables: tables_lib.Tables) -> list[Wanted]:
     """Returns what the own queue wants, by group."""
     result = []
