Admission by the work due within horizons

Change: entries report their unfinished work by time to its deadline; a job is admitted if, with it, the work due within each horizon fits into 0.6 of what the slots can do by then.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -37,6 +37,7 @@
   backends @16 :List(BackendReport);
   demand @17 :List(TeamDemand);
   heldSeqs @18 :List(UInt64);
+  due @19 :List(Float64);
 }
 
 struct AskEntry {
@@ -53,6 +54,8 @@
   sentAt @1 :Float64;
   lastSeq @2 :UInt64;
   entries @3 :List(AskEntry);
+  free @4 :UInt32;
+  due @5 :List(Float64);
 }
 
 struct GrantEntry {
@@ -79,7 +82,11 @@
   expectedMs @3 :UInt32;
 }
 
-struct ReleaseMessage { sender @0 :Text; entries @1 :List(ReleaseEntry); }
+struct ReleaseMessage {
+  sender @0 :Text;
+  entries @1 :List(ReleaseEntry);
+  free @2 :UInt32;
+}
 
 struct LeavingMessage { sender @0 :Text; successor @1 :Text; }
 
--- a/acacialine/admission.py
+++ b/acacialine/admission.py
@@ -1,6 +1,7 @@
 """Admission: a whole job is accepted or refused before its first start."""
 
 import heapq
+import itertools
 
 import attrs
 
@@ -20,6 +21,7 @@
 
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 30.0
+FILL_SHARE = 0.6  # part of the time to a deadline that may be full of work
 
 
 @attrs.frozen(eq=False)
@@ -247,12 +249,26 @@
     return ""
 
 
-def work_ahead_s(tables: tables_lib.Tables, job: tables_lib.Job) -> float:
-    """Returns the expected work that goes before a job, in slot-seconds."""
-    total = tables.work_s
+def due_work(tables: tables_lib.Tables, now: float) -> list[float]:
+    """Returns the own unfinished work due within each horizon, in s."""
+    horizons = tables_lib.DUE_HORIZONS_S
+    result = [0.0] * len(horizons)
+    for job in tables.jobs.values():
+        left_s = job.deadline - now
+        for index, horizon_s in enumerate(horizons):
+            if left_s <= horizon_s:
+                result[index] += job.work_s
+                break
+    return list(itertools.accumulate(result))
+
+
+def _due_everywhere(tables: tables_lib.Tables, now: float) -> list[float]:
+    """Returns the work due within each horizon, own and reported."""
+    total = due_work(tables, now)
     for peer in tables.peers.values():
-        if peer.state == "live":
-            total += peer.load.work_s
+        if peer.state in ("live", "draining"):
+            for index, work_s in enumerate(peer.load.due[: len(total)]):
+                total[index] += work_s
     return total
 
 
@@ -268,21 +284,36 @@
 def _overloaded(
     tables: tables_lib.Tables, job: tables_lib.Job, now: float
 ) -> Refusal | None:
-    """Refuses a job that is predicted to miss its deadline."""
+    """Refuses a job with which some deadline would be missed.
+
+    Less work goes first whatever its deadline, so a new job may delay every
+    accepted one: the work due within each horizon must fit into a share of
+    what the slots can do by then.
+    """
     slots = max(1, slots_everywhere(tables, now))
-    longest_s = max(task.expected_s for task in job.tasks)
-    ahead_s = work_ahead_s(tables, job)
-    parallel_s = max(job.work_s / slots, longest_s)
-    predicted_s = ahead_s / slots + parallel_s
     allowed_s = job.deadline - now
-    if predicted_s <= allowed_s:
-        return None
-    retry_s = min(
-        max(predicted_s - allowed_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S
-    )
+    longest_s = max(task.expected_s for task in job.tasks)
+    needed_s = longest_s + job.work_s / slots
+    if needed_s > allowed_s:
+        return _late(needed_s - allowed_s, needed_s, allowed_s)
+    horizons = tables_lib.DUE_HORIZONS_S
+    due = _due_everywhere(tables, now)
+    for horizon_s, work_s in zip(horizons, due, strict=True):
+        if horizon_s >= allowed_s or work_s > 0:
+            full_s = (work_s + job.work_s) / slots
+            limit_s = FILL_SHARE * horizon_s
+            if full_s > limit_s:
+                return _late(full_s - limit_s, full_s, limit_s)
+        if horizon_s >= 2 * allowed_s:
+            break
+    return None
+
+
+def _late(over_s: float, needed_s: float, allowed_s: float) -> Refusal:
+    retry_s = min(max(over_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
     return Refusal(
         503,
         errors.Code.OVERLOADED,
-        f"would finish in {predicted_s:.2f} s, deadline in {allowed_s:.2f} s",
+        f"needs {needed_s:.2f} s of all slots, has {allowed_s:.2f} s",
         retry_s,
     )
--- a/acacialine/asks.py
+++ b/acacialine/asks.py
@@ -8,6 +8,7 @@
 import math
 
 from acacialine import actions
+from acacialine import admission
 from acacialine import attempts
 from acacialine import broker
 from acacialine import events
@@ -190,7 +191,15 @@
         )
     peer.asked = {g: c for g, c in desired.items() if c > 0}
     peer.asked_at = now
-    message = messages.AskMessage(tables.my_id, now, peer.last_seq, entries)
+    _, free = broker.capacity(tables, now)
+    message = messages.AskMessage(
+        tables.my_id,
+        now,
+        peer.last_seq,
+        entries,
+        free,
+        admission.due_work(tables, now),
+    )
     tables.actions.append(actions.Send(peer.id, message))
     tables.counters["messages_ask"] += 1
 
@@ -267,10 +276,13 @@
     attempts.give_back(tables, grant, unused, 0.0, 0.0, now)
 
 
-def send_releases(tables: tables_lib.Tables) -> None:
+def send_releases(tables: tables_lib.Tables, now: float) -> None:
     """Sends the slots given back in this tick, one message per broker."""
+    if not tables.releases:
+        return
+    _, free = broker.capacity(tables, now)
     for peer_id, entries in tables.releases.items():
-        message = messages.ReleaseMessage(tables.my_id, entries)
+        message = messages.ReleaseMessage(tables.my_id, entries, free)
         tables.actions.append(actions.Send(peer_id, message))
         tables.counters["messages_release"] += 1
     tables.releases.clear()
--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -386,6 +386,10 @@
     Grants that were on their way when the ask was sent are subtracted, so
     that crossing messages lead to no surplus.
     """
+    peer = tables.peers.get(message.sender)
+    if peer:
+        peer.load.free = message.free
+        peer.load.due = message.due
     items = []
     for entry in message.entries:
         group = tables.group(entry.team, entry.kind, entry.is_long)
@@ -424,6 +428,9 @@
     tables: tables_lib.Tables, message: messages.ReleaseMessage, now: float
 ) -> None:
     """Takes back slots that a coordinator gives up."""
+    peer = tables.peers.get(message.sender)
+    if peer:
+        peer.load.free = message.free
     for entry in message.entries:
         for backend in tables.backends.values():
             slot = backend.held.get(entry.seq)
--- a/acacialine/core.py
+++ b/acacialine/core.py
@@ -44,7 +44,7 @@
         submissions.run_epochs(tables, now)
         self._place(now)
         membership.run_heartbeats(tables, now)
-        asks.send_releases(tables)
+        asks.send_releases(tables, now)
         tables.last_tick_at = now
         return self.take_actions()
 
--- a/acacialine/membership.py
+++ b/acacialine/membership.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from acacialine import actions
+from acacialine import admission
 from acacialine import broker
 from acacialine import events
 from acacialine import ids
@@ -154,7 +155,7 @@
     peer.successor = beat.successor
     peer.caller_address = beat.caller_address
     peer.load = tables_lib.Load(
-        beat.slots, beat.free, beat.work_s, beat.waiting
+        beat.slots, beat.free, beat.work_s, beat.waiting, beat.due
     )
     peer.demand = {entry.team: entry.rate for entry in beat.demand}
     if peer.state != beat.state:
@@ -368,6 +369,7 @@
         _backend_news(tables),
         _demand(tables, now),
         [g.seq for g in tables.grants.values() if g.broker == peer.id],
+        admission.due_work(tables, now),
     )
 
 
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -53,6 +53,7 @@
         work_s: Expected run time of its unfinished work, in s.
         held: Slots it holds that the receiver brokers but did not grant.
         held_seqs: Numbers of the receiver's grants that it holds.
+        due: Its unfinished work in s by time to the deadline; see `Load`.
     """
 
     sender: str
@@ -74,6 +75,7 @@
     backends: list[BackendReport] = attrs.field(factory=list)
     demand: list[TeamDemand] = attrs.field(factory=list)
     held_seqs: list[int] = attrs.field(factory=list)
+    due: list[float] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -99,12 +101,16 @@
     Attributes:
         sent_at: Sender's clock, echoed in grants.
         last_seq: Newest grant number the sender got from the receiver.
+        free: Free slots that the sender brokers.
+        due: As in `Heartbeat`.
     """
 
     sender: str
     sent_at: float
     last_seq: int
     entries: list[AskEntry]
+    free: int = 0
+    due: list[float] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -151,6 +157,7 @@
 
     sender: str
     entries: list[ReleaseEntry]
+    free: int = 0
 
 
 @attrs.frozen
--- a/acacialine/tables.py
+++ b/acacialine/tables.py
@@ -15,6 +15,8 @@
 from acacialine import ids
 from acacialine import settings as settings_lib
 
+DUE_HORIZONS_S = (1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 12.0, 16.0, 32.0, 64.0)
+
 
 class TaskState(enum.Enum):
     """Where a task is in its life."""
@@ -310,13 +312,14 @@
         slots: Slots it brokers.
         free: Of these, the free ones.
         work_s: Expected run time of its accepted unfinished work, in s.
-        ranked_work_s: Work of its short jobs only, in s.
+        due: The part of it due within each of `DUE_HORIZONS_S`.
     """
 
     slots: int = 0
     free: int = 0
     work_s: float = 0.0
     waiting: int = 0
+    due: list[float] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
