Asks tell the ranks of the first jobs apart

Cause: with other zones asked less, lone tasks waited 220 ms at a full zone: an ask was not renewed when a better ranked job came (the count changed by less than a quarter), and one rank stood for all tasks of a group. Also: zones that are not clearly better off are no longer asked. Change: asks carry up to three jobs of a group with their ranks, and go out when the best rank improves; a zone is asked if it has free slots or less than 0.6 of the own wait.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -56,6 +56,7 @@
   entries @3 :List(AskEntry);
   free @4 :UInt32;
   due @5 :List(Float64);
+  waiting @6 :UInt32;
 }
 
 struct GrantEntry {
--- a/acacialine/asks.py
+++ b/acacialine/asks.py
@@ -18,6 +18,8 @@
 from acacialine import tables as tables_lib
 
 CHANGE_SHARE = 0.25  # change of an ask that is worth a message
+SPILL_GAIN = 0.6  # part of the own wait from which another zone is better
+RANK_GAIN = 0.5  # slot-seconds by which a better rank is worth a message
 REFRESH_S = 1.0  # an unchanged ask is repeated after this time
 
 
@@ -29,13 +31,15 @@
     interval_s = tables.settings.placement.ask_interval_ms / 1000
     targets = _targets(tables, wanted, now)
     shares = _split(tables, wanted, targets, now)
+    waiting = sum(want.count for want in wanted)
     for peer in membership.live_peers(tables):
-        desired = shares.get(peer.id, {})
-        if not _outdated(peer, desired, now):
+        desired = shares.get(peer.id, [])
+        summary = _summary(desired)
+        if not _outdated(peer, summary, now):
             continue
         if now - peer.asked_at < interval_s:
             continue
-        _send_ask(tables, peer, desired, wanted, now)
+        _send_ask(tables, peer, desired, summary, waiting, now)
 
 
 def next_due(tables: tables_lib.Tables) -> float:
@@ -60,15 +64,32 @@
             own_zone.append(peer)
         else:
             others.append(peer)
-    if not others:
-        return own_zone
-    spill_s = tables.settings.placement.spill_wait_ms / 1000
-    if _predicted_wait_s(tables, own_zone, now) >= spill_s:
-        return own_zone + others
     served = {b.zone for b in tables.backends.values()}
     if tables.zone not in served:
         return own_zone + others
-    return own_zone + _needed_elsewhere(tables, wanted, others)
+    wait_s = _predicted_wait_s(tables, own_zone, now)
+    spill_s = tables.settings.placement.spill_wait_ms / 1000
+    if wait_s < spill_s:
+        return own_zone + _needed_elsewhere(tables, wanted, others)
+    return own_zone + _less_loaded(others, wait_s, tables.mean_run_s)
+
+
+def _less_loaded(
+    others: list[tables_lib.Peer], wait_s: float, mean_run_s: float
+) -> list[tables_lib.Peer]:
+    """Returns brokers of the zones that are clearly better off."""
+    by_zone: dict[str, list[tables_lib.Peer]] = {}
+    for peer in others:
+        by_zone.setdefault(peer.zone, []).append(peer)
+    result = []
+    for peers in by_zone.values():
+        slots = sum(p.load.slots for p in peers)
+        waiting = sum(p.load.waiting for p in peers)
+        free = sum(p.load.free for p in peers)
+        their_s = max(0, waiting - free) * mean_run_s / max(1, slots)
+        if free > 0 or their_s < SPILL_GAIN * wait_s:
+            result.extend(peers)
+    return result
 
 
 def _predicted_wait_s(
@@ -112,9 +133,9 @@
     wanted: list[queues.Wanted],
     targets: list[tables_lib.Peer],
     now: float,
-) -> dict[str, dict[tables_lib.Group, int]]:
+) -> dict[str, list[queues.Wanted]]:
     """Splits the waiting tasks over brokers: free slots first, then size."""
-    result: dict[str, dict[tables_lib.Group, int]] = {}
+    result: dict[str, list[queues.Wanted]] = {}
     if not targets:
         return result
     own_slots, _ = broker.capacity(tables, now)
@@ -126,15 +147,25 @@
             if count > 0:
                 free_left[peer.id] -= count
                 left -= count
-                result.setdefault(peer.id, {})[want.group] = count
+                _add(result, peer, want, count)
         if left > 0:
-            _spread(result, want.group, left, targets, own_slots)
+            _spread(result, want, left, targets, own_slots)
     return result
 
 
+def _add(
+    result: dict[str, list[queues.Wanted]],
+    peer: tables_lib.Peer,
+    want: queues.Wanted,
+    count: int,
+) -> None:
+    part = queues.Wanted(want.group, count, want.rank)
+    result.setdefault(peer.id, []).append(part)
+
+
 def _spread(
-    result: dict[str, dict[tables_lib.Group, int]],
-    group: tables_lib.Group,
+    result: dict[str, list[queues.Wanted]],
+    want: queues.Wanted,
     count: int,
     targets: list[tables_lib.Peer],
     own_slots: int,
@@ -143,23 +174,38 @@
     total = own_slots + sum(p.load.slots for p in targets)
     for peer in targets:
         part = math.ceil(count * peer.load.slots / max(1, total))
-        asked = result.setdefault(peer.id, {})
-        asked[group] = asked.get(group, 0) + part
+        _add(result, peer, want, part)
+
+
+def _summary(
+    desired: list[queues.Wanted],
+) -> dict[tables_lib.Group, tables_lib.Asked]:
+    """Returns the count and the best rank for each group."""
+    result: dict[tables_lib.Group, tables_lib.Asked] = {}
+    for want in desired:
+        asked = result.get(want.group)
+        if asked is None:
+            result[want.group] = tables_lib.Asked(want.count, want.rank)
+        else:
+            asked.count += want.count
+            asked.rank = min(asked.rank, want.rank)
+    return result
 
 
 def _outdated(
-    peer: tables_lib.Peer, desired: dict[tables_lib.Group, int], now: float
+    peer: tables_lib.Peer,
+    desired: dict[tables_lib.Group, tables_lib.Asked],
+    now: float,
 ) -> bool:
     if desired and now - peer.asked_at >= REFRESH_S:
         return True
-    for group in desired.keys() | peer.asked.keys():
-        new = desired.get(group, 0)
-        old = peer.asked.get(group, 0)
-        if new == old:
-            continue
-        if min(new, old) <= 0:
+    if desired.keys() != peer.asked.keys():
+        return True
+    for group, new in desired.items():
+        old = peer.asked[group]
+        if new.rank < old.rank - RANK_GAIN:
             return True
-        if abs(new - old) > max(1, CHANGE_SHARE * old):
+        if abs(new.count - old.count) > max(1, CHANGE_SHARE * old.count):
             return True
     return False
 
@@ -167,29 +213,26 @@
 def _send_ask(
     tables: tables_lib.Tables,
     peer: tables_lib.Peer,
-    desired: dict[tables_lib.Group, int],
-    wanted: list[queues.Wanted],
+    desired: list[queues.Wanted],
+    summary: dict[tables_lib.Group, tables_lib.Asked],
+    waiting: int,
     now: float,
 ) -> None:
-    ranks = {want.group: want.rank for want in wanted}
-    entries = []
-    for group, count in desired.items():
-        job = queues.best(tables, group)
-        if count <= 0 or job is None:
-            continue
-        rank = queues.relative_rank(tables, ranks[group], now)
-        lease_s = max(0.0, job.deadline - now)
-        entries.append(
-            messages.AskEntry(
-                group.team,
-                group.kind,
-                group.is_long,
-                count,
-                rank,
-                int(lease_s * 1000),
-            )
+    # A grant may serve any job of the team, so its lease covers them all.
+    last = max((job.deadline for job in tables.jobs.values()), default=now)
+    lease_ms = int(max(0.0, last - now) * 1000)
+    entries = [
+        messages.AskEntry(
+            want.group.team,
+            want.group.kind,
+            want.group.is_long,
+            want.count,
+            queues.relative_rank(tables, want.rank, now),
+            lease_ms,
         )
-    peer.asked = {g: c for g, c in desired.items() if c > 0}
+        for want in desired
+    ]
+    peer.asked = summary
     peer.asked_at = now
     _, free = broker.capacity(tables, now)
     message = messages.AskMessage(
@@ -199,6 +242,7 @@
         entries,
         free,
         admission.due_work(tables, now),
+        waiting,
     )
     tables.actions.append(actions.Send(peer.id, message))
     tables.counters["messages_ask"] += 1
@@ -217,8 +261,9 @@
     for entry in message.entries:
         peer.last_seq = max(peer.last_seq, entry.seq)
         group = tables.group(entry.team, entry.kind, entry.is_long)
-        if peer.asked.get(group, 0) > 1:
-            peer.asked[group] -= 1
+        asked = peer.asked.get(group)
+        if asked and asked.count > 1:
+            asked.count -= 1
         else:
             peer.asked.pop(group, None)
         grant = tables_lib.Grant(
--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -22,6 +22,7 @@
 
     holder: str
     group: tables_lib.Group
+    count: int
     rank: float
     lease_s: float
     item: tables_lib.AskItem | None
@@ -191,7 +192,6 @@
     candidates = _candidates(tables, now)
     given: dict[str, list[messages.GrantEntry]] = {}
     long_left = _long_slots_left(tables, now)
-    own_taken: dict[tables_lib.Group, int] = {}
     while candidates and free_by_backend and budget > 0:
         candidate = min(candidates, key=_key_of(tables))
         backend = _pick_backend(tables, free_by_backend, candidate.group)
@@ -204,17 +204,14 @@
         free_by_backend[backend] -= 1
         if free_by_backend[backend] <= 0:
             del free_by_backend[backend]
+        candidate.count -= 1
         if candidate.item is None:
             own_grants.append(_grant_own(tables, backend, candidate, now))
-            taken = own_taken.get(candidate.group, 0) + 1
-            own_taken[candidate.group] = taken
-            left = tables.waiting[candidate.group] - taken
         else:
             entry = _grant_peer(tables, backend, candidate, now)
             given.setdefault(candidate.holder, []).append(entry)
             candidate.item.count -= 1
-            left = candidate.item.count
-        if left <= 0:
+        if candidate.count <= 0:
             candidates.remove(candidate)
     _send_grants(tables, given, now)
     return own_grants
@@ -234,7 +231,7 @@
 
 def _candidates(tables: tables_lib.Tables, now: float) -> list[_Candidate]:
     result = [
-        _Candidate(tables.my_id, want.group, want.rank, 0.0, None)
+        _Candidate(tables.my_id, want.group, want.count, want.rank, 0.0, None)
         for want in queues.wanted(tables)
     ]
     for holder, ask in tables.asks.items():
@@ -242,7 +239,12 @@
             if item.count > 0:
                 result.append(
                     _Candidate(
-                        holder, item.group, item.rank, item.lease_s, item
+                        holder,
+                        item.group,
+                        item.count,
+                        item.rank,
+                        item.lease_s,
+                        item,
                     )
                 )
     return result
@@ -390,13 +392,18 @@
     if peer:
         peer.load.free = message.free
         peer.load.due = message.due
+        peer.load.waiting = message.waiting
     items = []
+    in_flight: dict[tables_lib.Group, int] = {}
     for entry in message.entries:
         group = tables.group(entry.team, entry.kind, entry.is_long)
-        in_flight = _granted_since(
-            tables, message.sender, group, message.last_seq
-        )
-        count = entry.count - in_flight
+        if group not in in_flight:
+            in_flight[group] = _granted_since(
+                tables, message.sender, group, message.last_seq
+            )
+        taken = min(entry.count, in_flight[group])
+        in_flight[group] -= taken
+        count = entry.count - taken
         if count > 0:
             rank = queues.absolute_rank(tables, entry.rank, now)
             items.append(
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -102,6 +102,7 @@
         sent_at: Sender's clock, echoed in grants.
         last_seq: Newest grant number the sender got from the receiver.
         free: Free slots that the sender brokers.
+        waiting: Its waiting tasks.
         due: As in `Heartbeat`.
     """
 
@@ -111,6 +112,7 @@
     entries: list[AskEntry]
     free: int = 0
     due: list[float] = attrs.field(factory=list)
+    waiting: int = 0
 
 
 @attrs.frozen
--- a/acacialine/queues.py
+++ b/acacialine/queues.py
@@ -7,15 +7,16 @@
 
 from acacialine import tables as tables_lib
 
+TIERS = 3  # jobs of a group whose ranks are told apart
 AGEING = 12.0  # slot-seconds of remaining work that one second of age offsets
 
 
 @attrs.define(eq=False)
 class Wanted:
-    """What the own queue wants for one group.
+    """Slots that the own queue wants for one group and rank.
 
     Attributes:
-        rank: Rank of its best job; lower first.
+        rank: Rank of the best job it is for; lower first.
     """
 
     group: tables_lib.Group
@@ -174,12 +175,36 @@
 
 
 def wanted(tables: tables_lib.Tables) -> list[Wanted]:
-    """Returns what the own queue wants, by group."""
+    """Returns what the own queue wants.
+
+    The first jobs of each group stand alone with their ranks, so that the
+    rank of a small job does not pull a large one forward; the rest is one.
+    """
     result = []
     for group, count in tables.waiting.items():
-        if count <= 0:
+        if count > 0 and best(tables, group) is not None:
+            result.extend(_wanted_of(tables, group, count))
+    return result
+
+
+def _wanted_of(
+    tables: tables_lib.Tables, group: tables_lib.Group, count: int
+) -> list[Wanted]:
+    seen = set()
+    result: list[Wanted] = []
+    for _, _, job in heapq.nsmallest(2 * TIERS, tables.queues[group]):
+        queue = job.waiting.get(group)
+        if job.answer is not None or not queue or job in seen:
             continue
-        job = best(tables, group)
-        if job is not None:
-            result.append(Wanted(group, count, rank_of(tables, job)))
+        seen.add(job)
+        rank = rank_of(tables, job)
+        if len(result) == TIERS:
+            result.append(Wanted(group, count, rank))
+            return result
+        part = min(len(queue), count)
+        result.append(Wanted(group, part, rank))
+        count -= part
+        if count <= 0:
+            return result
+    result[-1].count += count
     return result
--- a/acacialine/tables.py
+++ b/acacialine/tables.py
@@ -322,6 +322,14 @@
     due: list[float] = attrs.field(factory=list)
 
 
+@attrs.define(eq=False)
+class Asked:
+    """What a broker is believed to know of the own demand for a group."""
+
+    count: int
+    rank: float
+
+
 @attrs.define(eq=False)
 class Peer:
     """Another entry, heard of directly or from a third one.
@@ -346,7 +354,7 @@
     caller_address: str = ""
     load: Load = attrs.field(factory=Load)
     demand: dict[str, float] = attrs.field(factory=dict)
-    asked: dict[Group, int] = attrs.field(factory=dict)
+    asked: dict[Group, Asked] = attrs.field(factory=dict)
     asked_at: float = 0.0
     last_seq: int = 0
     given_seq: int = 0
