Spill by how long the zone stays full; slots serve several tasks at a crest

Change: below a predicted wait of 0.5 s all zones are asked, beyond it only those clearly better off; beyond it a granted slot also serves up to 4 further tasks unless better work waits at its broker; planning runs every 6 ms at most.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -74,6 +74,7 @@
   waitedMs @2 :UInt32;
   free @3 :UInt32;
   entries @4 :List(GrantEntry);
+  floorRank @5 :Float64;
 }
 
 struct ReleaseEntry {
--- a/acacialine/asks.py
+++ b/acacialine/asks.py
@@ -18,17 +18,22 @@
 from acacialine import tables as tables_lib
 
 CHANGE_SHARE = 0.25  # change of an ask that is worth a message
+SATURATED_S = 0.5  # predicted wait of the own zone that will not pass soon
 SPILL_GAIN = 0.6  # part of the own wait from which another zone is better
 RANK_GAIN = 0.5  # slot-seconds by which a better rank is worth a message
+REUSES = 4  # tasks that may follow the first one on a grant
 REFRESH_S = 1.0  # an unchanged ask is repeated after this time
 
 
 def plan(tables: tables_lib.Tables, now: float) -> None:
     """Sends asks to the brokers whose picture of our demand is outdated."""
+    if now < tables.plan_at:
+        return
+    interval_s = tables.settings.placement.ask_interval_ms / 1000
+    tables.plan_at = now + interval_s
     wanted = queues.wanted(tables)
     if not wanted and not any(p.asked for p in tables.peers.values()):
         return
-    interval_s = tables.settings.placement.ask_interval_ms / 1000
     targets = _targets(tables, wanted, now)
     shares = _split(tables, wanted, targets, now)
     waiting = sum(want.count for want in wanted)
@@ -57,6 +62,7 @@
     """Returns the brokers to ask, those of the own zone first."""
     own_zone = []
     others = []
+    tables.wait_s = 0.0
     for peer in membership.live_peers(tables):
         if peer.load.slots <= 0 or not peer.heard_at:
             continue
@@ -64,11 +70,14 @@
             own_zone.append(peer)
         else:
             others.append(peer)
+    tables.wait_s = _predicted_wait_s(tables, own_zone, now)
     served = {b.zone for b in tables.backends.values()}
     if tables.zone not in served:
         return own_zone + others
-    wait_s = _predicted_wait_s(tables, own_zone, now)
+    wait_s = tables.wait_s
     spill_s = tables.settings.placement.spill_wait_ms / 1000
+    if spill_s <= wait_s < SATURATED_S:
+        return own_zone + others
     if wait_s < spill_s:
         return own_zone + _needed_elsewhere(tables, wanted, others)
     return own_zone + _less_loaded(others, wait_s, tables.mean_run_s)
@@ -258,6 +267,7 @@
     ttl_s = tables.settings.placement.grant_ttl_ms / 1000
     use_until = message.ask_sent_at + message.waited_ms / 1000 + ttl_s
     peer.load.free = message.free
+    floor = queues.absolute_rank(tables, message.floor_rank, now)
     for entry in message.entries:
         peer.last_seq = max(peer.last_seq, entry.seq)
         group = tables.group(entry.team, entry.kind, entry.is_long)
@@ -272,8 +282,10 @@
             entry.backend_id,
             group,
             use_until,
-            entry.lease_ms / 1000,
             peer.zone != tables.zone,
+            use_until + entry.lease_ms / 1000 - ttl_s,
+            floor,
+            REUSES,
         )
         tables.grants[(peer.id, entry.seq)] = grant
         tables.ready.append(grant)
@@ -288,6 +300,13 @@
     while tables.ready and budget > 0:
         grant = tables.ready.popleft()
         budget -= 1
+        if grant.reuses < REUSES and not _may_reuse(tables, grant):
+            # The run of its last task was reported as a success.
+            done = tables_lib.ReleaseReason.SUCCEEDED
+            attempts.give_back(
+                tables, grant, done, grant.run_s, grant.expected_s, now
+            )
+            continue
         if now >= grant.use_until or grant.broker not in tables.peers:
             _return_unused(tables, grant, "expired", now)
             continue
@@ -303,6 +322,20 @@
     return budget
 
 
+def _may_reuse(tables: tables_lib.Tables, grant: tables_lib.Grant) -> bool:
+    """Returns whether a slot that has become free serves the next task.
+
+    The broker knows of better work only by the floor it sent, so a slot
+    goes back after a few tasks, or when the next one would come behind.
+    """
+    if tables.wait_s < SATURATED_S:
+        return False
+    job = queues.best_for(tables, grant.group)
+    if job is None or job.deadline > grant.lease_until:
+        return False
+    return queues.rank_of(tables, job) <= grant.floor_rank
+
+
 def _return_unused(
     tables: tables_lib.Tables,
     grant: tables_lib.Grant,
--- a/acacialine/attempts.py
+++ b/acacialine/attempts.py
@@ -23,6 +23,7 @@
 RETRY_WITHOUT_BUDGET_S = 0.5
 RETRY_TOKENS_MAX = 100.0
 MEAN_SMOOTHING = 0.02
+REUSE_S = 0.05  # time within which a kept slot must be used
 OVERDUE_S = 2.0
 OVERDUE_FACTOR = 4.0  # multiple of the expected run time
 DECISIONS_KEPT = 200  # per job
@@ -178,10 +179,31 @@
     task.grant = None
     grant.task = None
     run_s = now - task.started_at
+    if _keeps(tables, grant, outcome, answer, now):
+        grant.reuses -= 1
+        grant.run_s, grant.expected_s = run_s, task.expected_s
+        grant.use_until = now + REUSE_S
+        tables.ready.append(grant)
+        return
     why = _release_reason(task, outcome, answer, reason, run_s)
     give_back(tables, grant, why, run_s, task.expected_s, now)
 
 
+def _keeps(
+    tables: tables_lib.Tables,
+    grant: tables_lib.Grant,
+    outcome: tables_lib.AttemptOutcome,
+    answer: tables_lib.BackendAnswer | None,
+    now: float,
+) -> bool:
+    """Returns whether a granted slot may serve another task at once."""
+    if grant.broker == tables.my_id or grant.reuses <= 0:
+        return False
+    if outcome != tables_lib.AttemptOutcome.ANSWERED or answer.status >= 300:
+        return False
+    return now < grant.lease_until and grant.broker in tables.peers
+
+
 def _release_reason(
     task: tables_lib.Task,
     outcome: tables_lib.AttemptOutcome,
--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -4,6 +4,8 @@
 a message; other coordinators hold them by grants.
 """
 
+import math
+
 import attrs
 
 from acacialine import actions
@@ -213,7 +215,9 @@
             candidate.item.count -= 1
         if candidate.count <= 0:
             candidates.remove(candidate)
-    _send_grants(tables, given, now)
+    if given:
+        floor = min((c.rank for c in candidates), default=math.inf)
+        _send_grants(tables, given, floor, now)
     return own_grants
 
 
@@ -327,7 +331,6 @@
         backend.backend_id,
         candidate.group,
         float("inf"),
-        float("inf"),
         False,
     )
 
@@ -367,14 +370,16 @@
 def _send_grants(
     tables: tables_lib.Tables,
     given: dict[str, list[messages.GrantEntry]],
+    floor_rank: float,
     now: float,
 ) -> None:
+    floor = queues.relative_rank(tables, floor_rank, now)
+    _, left = capacity(tables, now)
     for holder, entries in given.items():
         ask = tables.asks[holder]
         waited_ms = int((now - ask.received_at) * 1000)
-        _, left = capacity(tables, now)
         message = messages.GrantMessage(
-            tables.my_id, ask.sent_at, waited_ms, left, entries
+            tables.my_id, ask.sent_at, waited_ms, left, entries, floor
         )
         tables.actions.append(actions.Send(holder, message))
         tables.counters["messages_grant"] += 1
@@ -476,6 +481,14 @@
     return backend
 
 
+def finish_relay(tables: tables_lib.Tables, seq: int, backend_id: str) -> None:
+    """Lets the holder use the slot for another relayed start."""
+    backend = tables.backends.get(backend_id)
+    slot = backend.held.get(seq) if backend else None
+    if slot is not None:
+        slot.used = False
+
+
 def reconcile(
     tables: tables_lib.Tables, beat: messages.Heartbeat, now: float
 ) -> None:
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -1,5 +1,7 @@
 """Typed messages between entries; `codec` turns them into bytes."""
 
+import math
+
 import attrs
 
 
@@ -134,6 +136,8 @@
     Attributes:
         ask_sent_at: `sent_at` of the ask, by the receiver's clock.
         waited_ms: Time the ask spent at the broker.
+        floor_rank: Rank, relative to the time of sending, of the first work
+            that the broker could not serve.
     """
 
     sender: str
@@ -141,6 +145,7 @@
     waited_ms: int
     free: int
     entries: list[GrantEntry]
+    floor_rank: float = math.inf
 
 
 @attrs.frozen
--- a/acacialine/peercalls.py
+++ b/acacialine/peercalls.py
@@ -143,7 +143,7 @@
             task.task_id,
             task.group.kind,
             max(1, int(left_s * 1000)),
-            max(1, int(min(left_s, grant.lease_s) * 1000)),
+            max(1, int(min(left_s, grant.lease_until - now) * 1000)),
             task.payload,
         )
         try:
--- a/acacialine/queues.py
+++ b/acacialine/queues.py
@@ -141,6 +141,21 @@
     Grants are bound late: work that came after the ask, and goes first, may
     use the slot if it needs no more than what was granted.
     """
+    group = _best_group(tables, granted)
+    return take(tables, group) if group else None
+
+
+def best_for(
+    tables: tables_lib.Tables, granted: tables_lib.Group
+) -> tables_lib.Job | None:
+    """Returns the job that `take_best` would take from."""
+    group = _best_group(tables, granted)
+    return best(tables, group) if group else None
+
+
+def _best_group(
+    tables: tables_lib.Tables, granted: tables_lib.Group
+) -> tables_lib.Group | None:
     best_group = None
     best_rank = float("inf")
     for group, count in tables.waiting.items():
@@ -150,7 +165,7 @@
         if job is not None and rank_of(tables, job) < best_rank:
             best_group = group
             best_rank = rank_of(tables, job)
-    return take(tables, best_group) if best_group else None
+    return best_group
 
 
 def _may_use(
--- a/acacialine/random_dispatch.py
+++ b/acacialine/random_dispatch.py
@@ -43,6 +43,5 @@
         backend.backend_id,
         group,
         forever,
-        forever,
         False,
     )
--- a/acacialine/runner.py
+++ b/acacialine/runner.py
@@ -98,7 +98,7 @@
             task.payload,
             grant.use_until,
             task.job.deadline,
-            grant.lease_s,
+            grant.lease_until - clock.now(),
         )
         return await connections.start(start)
 
@@ -157,6 +157,7 @@
                 result = await connections.start(start)
         finally:
             del self._relays[call.task_id]
+            broker.finish_relay(self._tables, call.seq, call.backend_id)
         if scope.cancelled_caught:
             await connections.stop(call.task_id)
         answer = result.answer or tables_lib.BackendAnswer(0, b"", "")
--- a/acacialine/settings.py
+++ b/acacialine/settings.py
@@ -154,7 +154,7 @@
         ini.Option(
             "ask_interval_ms",
             ini.integer(1, 10000),
-            "4",
+            "6",
             "Shortest time between two asks to one broker, in ms.",
         ),
         ini.Option(
--- a/acacialine/tables.py
+++ b/acacialine/tables.py
@@ -192,8 +192,12 @@
         broker: Incarnation of the granting broker.
         seq: Number of the grant at its broker.
         use_until: Time after which the grant must not be used.
-        lease_s: Longest time the task may run, in s.
         relayed: Whether the start goes through the broker.
+        lease_until: Time at which a task on it must have ended.
+        floor_rank: Rank of the first work that the broker could not serve.
+        reuses: Tasks that may still follow the first on this grant.
+        run_s: Run time of its last task.
+        expected_s: Expected run time of its last task.
     """
 
     broker: str
@@ -201,8 +205,12 @@
     backend_id: str
     group: Group
     use_until: float
-    lease_s: float
     relayed: bool
+    lease_until: float = float("inf")
+    floor_rank: float = float("inf")
+    reuses: int = 0
+    run_s: float = 0.0
+    expected_s: float = 0.0
     task: Task | None = None
 
 
@@ -439,10 +447,12 @@
     next_heap_seq: int = 0
     beat: int = 0
     beat_at: float = 0.0
+    plan_at: float = 0.0
     zone_beat_at: float = 0.0
     last_tick_at: float = 0.0
     starts_last_tick: int = 0
     mean_run_s: float = 0.2
+    wait_s: float = 0.0
     retry_tokens: float = 10.0
     actions: list = attrs.field(factory=list)
 
--- a/acacialine/tests/network.py
+++ b/acacialine/tests/network.py
@@ -211,6 +211,10 @@
             return
         if attempt.action.task.job.answer is None and attempt.stopped:
             how = "lost"
+        grant = attempt.action.grant
+        other = self.node_of(grant.broker)
+        if grant.relayed and other:
+            broker.finish_relay(other.core.tables, grant.seq, grant.backend_id)
         outcome = tables_lib.AttemptOutcome.ANSWERED
         answer = OK if how == "ok" else FAILED
         reason = ""
