Urgent jobs come forward; kept slots go back after 0.3 s

Cause: at the crest small accepted jobs waited 4 s at full brokers, because slots kept for further tasks of a second each came back late, and accepted large jobs starved behind newer small ones until their deadline. Change: a granted slot is kept for 0.3 s at most; a job whose time runs out goes before all others.

--- a/acacialine/asks.py
+++ b/acacialine/asks.py
@@ -286,6 +286,7 @@
             use_until + entry.lease_ms / 1000 - ttl_s,
             floor,
             REUSES,
+            now,
         )
         tables.grants[(peer.id, entry.seq)] = grant
         tables.ready.append(grant)
--- a/acacialine/attempts.py
+++ b/acacialine/attempts.py
@@ -23,6 +23,7 @@
 RETRY_WITHOUT_BUDGET_S = 0.5
 RETRY_TOKENS_MAX = 100.0
 MEAN_SMOOTHING = 0.02
+KEEP_S = 0.3  # time after which a slot goes back to its broker
 REUSE_S = 0.05  # time within which a kept slot must be used
 OVERDUE_S = 2.0
 OVERDUE_FACTOR = 4.0  # multiple of the expected run time
@@ -201,6 +202,8 @@
         return False
     if outcome != tables_lib.AttemptOutcome.ANSWERED or answer.status >= 300:
         return False
+    if now - grant.received_at > KEEP_S:
+        return False
     return now < grant.lease_until and grant.broker in tables.peers
 
 
--- a/acacialine/queues.py
+++ b/acacialine/queues.py
@@ -8,6 +8,10 @@
 from acacialine import tables as tables_lib
 
 TIERS = 3  # jobs of a group whose ranks are told apart
+URGENCY_S = 0.1  # interval of the search for urgent jobs
+URGENT_FACTOR = 1.5
+URGENT_MARGIN_S = 0.3
+URGENT_RANK = -1e6  # before all work that is not urgent
 AGEING = 12.0  # slot-seconds of remaining work that one second of age offsets
 
 
@@ -32,9 +36,32 @@
     """
     if tables.settings.placement.policy != "default":
         return job.accepted_at
+    if job.is_urgent:
+        return URGENT_RANK + AGEING * job.deadline
     return job.work_s + AGEING * job.accepted_at
 
 
+def run_urgency(tables: tables_lib.Tables, slots: int, now: float) -> None:
+    """Brings forward the jobs whose time to the deadline runs out.
+
+    Least remaining work first starves a large job for as long as smaller
+    ones come; the accepted ones among those must still end in time.
+    """
+    if now < tables.urgency_at:
+        return
+    tables.urgency_at = now + URGENCY_S
+    for job in tables.jobs.values():
+        if job.is_urgent or not any(job.waiting.values()):
+            continue
+        longest_s = max(q[0].expected_s for q in job.waiting.values() if q)
+        needed_s = URGENT_FACTOR * (longest_s + job.work_s / max(1, slots))
+        if job.deadline - now < needed_s + URGENT_MARGIN_S:
+            job.is_urgent = True
+            for group, queue in job.waiting.items():
+                if queue:
+                    _push(tables, group, job)
+
+
 def relative_rank(tables: tables_lib.Tables, rank: float, now: float) -> float:
     """Turns a rank into one that another entry's clock can read."""
     if tables.settings.placement.policy != "default":
--- a/acacialine/tables.py
+++ b/acacialine/tables.py
@@ -130,6 +130,7 @@
         deadline: Time at which its answer is final, by the local clock.
         work_s: Expected run time of its unfinished tasks, in s.
         starts: Attempts that started or may have started.
+        is_urgent: Whether it would miss its deadline in its usual order.
     """
 
     team: str
@@ -146,6 +147,7 @@
     unfinished: int = 0
     work_s: float = 0.0
     starts: int = 0
+    is_urgent: bool = False
     answer: JobAnswer | None = None
     decisions: list[str] = attrs.field(factory=list)
 
@@ -196,6 +198,7 @@
         lease_until: Time at which a task on it must have ended.
         floor_rank: Rank of the first work that the broker could not serve.
         reuses: Tasks that may still follow the first on this grant.
+        received_at: When it was granted.
         run_s: Run time of its last task.
         expected_s: Expected run time of its last task.
     """
@@ -209,6 +212,7 @@
     lease_until: float = float("inf")
     floor_rank: float = float("inf")
     reuses: int = 0
+    received_at: float = 0.0
     run_s: float = 0.0
     expected_s: float = 0.0
     task: Task | None = None
@@ -448,6 +452,7 @@
     beat: int = 0
     beat_at: float = 0.0
     plan_at: float = 0.0
+    urgency_at: float = 0.0
     zone_beat_at: float = 0.0
     last_tick_at: float = 0.0
     starts_last_tick: int = 0
--- a/acacialine/tools/layout.py
+++ b/acacialine/tools/layout.py
@@ -10,6 +10,7 @@
 
 PEER_KEY = "bench-key"
 PORT_RANGE = (15000, 32000)
+_HANDED_OUT: set[int] = set()  # no port is given out twice by one process
 
 
 @attrs.frozen
@@ -50,13 +51,14 @@
     ports: list[int] = []
     while len(ports) < count:
         port = random.randrange(*PORT_RANGE)
-        if port in ports:
+        if port in _HANDED_OUT:
             continue
         with socket.socket() as one:
             one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             with contextlib.suppress(OSError):
                 one.bind(("127.0.0.1", port))
                 ports.append(port)
+                _HANDED_OUT.add(port)
     return ports
 
 
