--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -44,6 +44,287 @@
     demo_tool.main(serve)
 
 
+_FORMAT = click.option(
+    "--format",
+    "form",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    show_default=True,
+)
+_PLATFORM = click.option(
+    "--platform",
+    default="http://127.0.0.1:7000",
+    show_default=True,
+    envvar="ACACIALINE_PLATFORM",
+    help="Base URL of the platform.",
+)
+_STREAM = click.option("--stream", default="config", show_default=True)
+_ADMIN = click.option(
+    "--admin",
+    "address",
+    default="127.0.0.1:7102",
+    show_default=True,
+    envvar="ACACIALINE_ADMIN",
+    help="IP:port of an entry's admin API.",
+)
+_TOKEN = click.option(
+    "--token", default="", envvar="ACACIALINE_TOKEN", help="Admin token."
+)
+
+
+def _on_platform(function, url: str, *args):
+    """Runs an operator's function with an open platform."""
+    import trio
+
+    from acacialine import platforms
+
+    async def run():
+        platform = platforms.new_http_platform(url, 3000)
+        try:
+            return await function(platform, *args)
+        finally:
+            await platform.aclose()
+
+    return trio.run(run)
+
+
+@cli.group()
+def config() -> None:
+    """Checks, publishes and shows team documents."""
+
+
+@config.command("check")
+@click.argument("paths", nargs=-1, required=True, type=click.Path(exists=True))
+def config_check(paths) -> None:
+    """Reports every finding in documents; exits 2 if there is one."""
+    import pathlib
+
+    from acacialine import documents
+
+    found = []
+    for path in paths:
+        try:
+            documents.read_document(pathlib.Path(path).read_text(), path)
+            click.echo(f"{path}: valid")
+        except errors.FindingsError as error:
+            found += error.findings
+    if found:
+        raise errors.FindingsError(errors.Code.INVALID_DOCUMENT, found)
+
+
+@config.command("publish")
+@click.argument("path", type=click.Path(exists=True))
+@_PLATFORM
+@_STREAM
+@_ADMIN
+@_TOKEN
+@click.option("--author", default="", help="Name shown in the history.")
+@click.option("--base", type=int, help="Version the change is based on.")
+@click.option("--wait", is_flag=True, help="Wait until in force everywhere.")
+@click.option("--timeout-s", default=10.0, show_default=True)
+def config_publish(
+    path, platform, stream, address, token, author, base, wait, timeout_s
+) -> None:
+    """Publishes a document.
+
+    Exits 0 accepted, 2 invalid, 3 lost to another change, 4 platform down,
+    5 accepted but not yet in force everywhere.
+    """
+    from acacialine import operators
+
+    client = operators.AdminClient(address, token) if wait else None
+    status = _on_platform(
+        operators.publish,
+        platform,
+        stream,
+        path,
+        author,
+        base,
+        client,
+        timeout_s,
+    )
+    sys.exit(status)
+
+
+@config.command("show")
+@click.argument("team")
+@_PLATFORM
+@_STREAM
+def config_show(team, platform, stream) -> None:
+    """Prints the document of a team in force."""
+    from acacialine import operators
+
+    _on_platform(operators.show, platform, stream, team)
+
+
+@config.command("diff")
+@click.argument("path", type=click.Path(exists=True))
+@_PLATFORM
+@_STREAM
+def config_diff(path, platform, stream) -> None:
+    """Shows what publishing a file would change; exits 1 if anything."""
+    from acacialine import operators
+
+    sys.exit(_on_platform(operators.diff, platform, stream, path))
+
+
+@config.command("history")
+@click.argument("team", required=False)
+@_PLATFORM
+@_STREAM
+@_FORMAT
+def config_history(team, platform, stream, form) -> None:
+    """Lists the changes in the log, accepted and rejected."""
+    import msgspec
+
+    from acacialine import operators
+
+    lines = _on_platform(operators.history, platform, stream, team)
+    if form == "json":
+        click.echo(msgspec.json.encode(lines).decode())
+        return
+    names = ["offset", "team", "change_id", "base", "author", "result"]
+    operators.print_objects(lines, names)
+
+
+def _admin_request(address, token, method, path, kind):
+    import trio
+
+    from acacialine import operators
+
+    client = operators.AdminClient(address, token)
+    return trio.run(client.request, method, path, kind)
+
+
+def _status(address, token):
+    from acacialine import admin
+
+    return _admin_request(address, token, "GET", "/admin/status", admin.Status)
+
+
+@config.command("status")
+@_ADMIN
+@_TOKEN
+@_FORMAT
+def config_status(address, token, form) -> None:
+    """Tells the configuration offset in force on every entry."""
+    import msgspec
+
+    from acacialine import operators
+
+    status = _status(address, token)
+    if form == "json":
+        click.echo(msgspec.json.encode(status.entries).decode())
+        return
+    names = ["name", "zone", "state", "config_offset", "age_ms"]
+    operators.print_objects(status.entries, names)
+
+
+@cli.command("status")
+@_ADMIN
+@_TOKEN
+@_FORMAT
+def status_command(address, token, form) -> None:
+    """Shows entries, backend servers and queues as one entry sees them."""
+    import msgspec
+
+    from acacialine import operators
+
+    status = _status(address, token)
+    if form == "json":
+        click.echo(msgspec.json.encode(status).decode())
+        return
+    up = "up" if status.platform_up else "down"
+    click.echo(
+        f"{status.entry}: configuration {status.config_offset}, platform {up}"
+    )
+    names = [
+        "name",
+        "zone",
+        "state",
+        "config_offset",
+        "slots",
+        "free",
+        "work_s",
+    ]
+    operators.print_objects(status.entries, names)
+    names = ["backend", "zone", "slots", "allowed", "held", "leaving"]
+    names += ["quarantined", "slowdown", "broker"]
+    operators.print_objects(status.backends, names)
+    names = ["team", "waiting", "held", "queued_bytes", "demand"]
+    operators.print_objects(status.queues, names)
+
+
+def _change(address, token, path) -> None:
+    from acacialine import admin
+
+    done = _admin_request(address, token, "POST", path, admin.Done)
+    click.echo(done.message)
+
+
+@cli.command()
+@_ADMIN
+@_TOKEN
+def drain(address, token) -> None:
+    """Stops an entry in order: nothing in flight is cut off."""
+    _change(address, token, "/admin/drain")
+
+
+@cli.command()
+@click.argument("backend")
+@_ADMIN
+@_TOKEN
+def quarantine(backend, address, token) -> None:
+    """Gives a backend server no work from the entry that is asked."""
+    _change(address, token, f"/admin/quarantine/{backend}")
+
+
+@cli.command()
+@click.argument("backend")
+@_ADMIN
+@_TOKEN
+def release(backend, address, token) -> None:
+    """Ends a quarantine."""
+    _change(address, token, f"/admin/release/{backend}")
+
+
+@cli.group()
+def job() -> None:
+    """Looks into single jobs."""
+
+
+@job.command("explain")
+@click.argument("submission_id")
+@_ADMIN
+@_TOKEN
+@_FORMAT
+def job_explain(submission_id, address, token, form) -> None:
+    """Shows why a job was placed, refused or failed."""
+    import msgspec
+
+    from acacialine import admin
+
+    path = f"/admin/jobs/{submission_id}"
+    found = _admin_request(address, token, "GET", path, admin.Explanation)
+    if form == "json":
+        click.echo(msgspec.json.encode(found).decode())
+        return
+    click.echo(f"{found.id}: {found.outcome} {found.code}")
+    for line in found.decisions:
+        click.echo("  " + line)
+
+
+@cli.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell) -> None:
+    """Prints the completion script for a shell."""
+    from click import shell_completion
+
+    kind = shell_completion.get_completion_class(shell)
+    made = kind(cli, {}, "acacialine", "_ACACIALINE_COMPLETE")
+    click.echo(made.source())
+
+
 @cli.group()
 def standin() -> None:
     """Runs stand-ins of the outside systems."""
@@ -122,15 +403,6 @@
     """Measures the product with stand-ins as real processes."""
 
 
-_FORMAT = click.option(
-    "--format",
-    "form",
-    type=click.Choice(["table", "json"]),
-    default="table",
-    show_default=True,
-)
-
-
 def _print_figures(figures, form: str) -> None:
     import attrs
     import msgspec
--- a/acacialine/admin.py
+++ b/acacialine/admin.py
@@ -74,7 +74,7 @@
 
 @attrs.frozen
 class Explanation:
-    """The decisions of one job."""
+    """The decisions of one job, and how it ended."""
 
     id: str
     outcome: str
--- /dev/null
+++ b/acacialine/publisher.py
@@ -0,0 +1,165 @@
+"""Publishing team documents and settling what became of a change."""
+
+import secrets
+
+import attrs
+import trio
+
+from acacialine import configlog
+from acacialine import documents
+from acacialine import errors
+from acacialine import platforms
+
+READ_BACK_TRIES = 20
+READ_BACK_DELAY_S = 0.25
+
+
+@attrs.frozen
+class Published:
+    """An accepted change.
+
+    Attributes:
+        offset: Its offset in the log; the new version of the document.
+    """
+
+    change_id: str
+    team: str
+    offset: int
+
+
+@attrs.frozen
+class HistoryLine:
+    """One change in the log, accepted or rejected."""
+
+    offset: int
+    change_id: str
+    team: str
+    author: str
+    base: int
+    result: str
+
+
+async def read_fold(
+    platform: platforms.Platform, stream: str
+) -> tuple[configlog.Fold, list[HistoryLine]]:
+    """Reads the whole retained log.
+
+    Raises:
+        errors.PlatformError: The platform did not answer.
+    """
+    fold = configlog.Fold()
+    history: list[HistoryLine] = []
+    page = await platform.read(stream, 1, 0)
+    if page.first > 1:
+        _adopt_snapshot(fold, page)
+    while True:
+        for record in page.records:
+            _apply(fold, record, history)
+        seen = page.records[-1].offset if page.records else fold.offset
+        if seen + 1 >= page.end:
+            return fold, history
+        page = await platform.read(stream, seen + 1, 0)
+
+
+def _adopt_snapshot(fold: configlog.Fold, page: platforms.LogPage) -> None:
+    for record in page.records:
+        decoded = configlog.decode_record(record.text)
+        snapshot = decoded.snapshot if decoded else None
+        if snapshot and snapshot.offset >= page.first - 1:
+            fold.adopt(snapshot)
+            return
+
+
+def _apply(
+    fold: configlog.Fold,
+    record: platforms.LogRecord,
+    history: list[HistoryLine],
+) -> None:
+    decoded = configlog.decode_record(record.text)
+    changed = fold.apply(record.offset, record.text)
+    change = decoded.change if decoded else None
+    if change is None:
+        return
+    result = "accepted" if changed else "duplicate"
+    rejection = fold.rejection_of(change.change_id)
+    if rejection and rejection.offset == record.offset:
+        result = f"rejected: {rejection.reason}"
+    history.append(
+        HistoryLine(
+            record.offset,
+            change.change_id,
+            change.team,
+            change.author,
+            change.base,
+            result,
+        )
+    )
+
+
+async def publish(
+    platform: platforms.Platform,
+    stream: str,
+    text: str,
+    source: str,
+    author: str = "",
+    base: int | None = None,
+) -> Published:
+    """Publishes a checked document.
+
+    Args:
+        platform: Where to append.
+        stream: The configuration stream.
+        text: The whole document.
+        source: Its file name, for findings.
+        author: Who publishes it.
+        base: Version it is based on; None takes the one in force.
+
+    Raises:
+        errors.FindingsError: The document is invalid; nothing was appended.
+        errors.ConflictError: Another change won.
+        errors.PlatformError: The platform did not answer; with
+            `may_have_applied` it is not known whether the change is in.
+    """
+    document = documents.read_document(text, source)
+    if base is None:
+        fold, _ = await read_fold(platform, stream)
+        current = fold.versions.get(document.team)
+        base = current.offset if current else 0
+    change = configlog.Change(
+        secrets.token_hex(8), document.team, base, text, author
+    )
+    record = configlog.encode_record(configlog.Record(change=change))
+    try:
+        await platform.append(stream, record)
+    except errors.PlatformError as error:
+        if not error.may_have_applied:
+            raise
+        # Never append again: the answer may be all that was lost.
+    return await _settle(platform, stream, change)
+
+
+async def _settle(
+    platform: platforms.Platform, stream: str, change: configlog.Change
+) -> Published:
+    """Reads back until the change is found accepted or rejected."""
+    last: errors.PlatformError | None = None
+    for _ in range(READ_BACK_TRIES):
+        try:
+            fold, _ = await read_fold(platform, stream)
+        except errors.PlatformError as error:
+            last = error
+        else:
+            last = None
+            offset = fold.changes.get(change.change_id)
+            if offset is not None:
+                return Published(change.change_id, change.team, offset)
+            rejection = fold.rejection_of(change.change_id)
+            if rejection:
+                raise errors.ConflictError(
+                    errors.Code.CONFLICT, rejection.reason
+                )
+        await trio.sleep(READ_BACK_DELAY_S)
+    if last:
+        raise errors.PlatformError(f"cannot read back: {last}", True)
+    message = f"change {change.change_id} is not in the log"
+    raise errors.PlatformError(message, True)
--- a/acacialine/tests/support.py
+++ b/acacialine/tests/support.py
@@ -144,10 +144,22 @@
 ):
     """Runs an installation in this process and waits until it serves."""
     layout = layout_lib.new_layout(zones, entries, backends)
+    async with running_layout(layout, extra, idle_s) as local:
+        yield local
+
+
+@contextlib.asynccontextmanager
+async def running_layout(
+    layout: layout_lib.Layout,
+    extra: dict | None = None,
+    idle_s: float = 30.0,
+    first: int | None = None,
+):
+    """Runs a layout; see `installation`."""
     merged = {section: dict(values) for section, values in FAST.items()}
     for section, values in (extra or {}).items():
         merged.setdefault(section, {}).update(values)
-    async with local_lib.running(layout, merged, idle_s) as local:
+    async with local_lib.running(layout, merged, idle_s, first) as local:
         local.publish("alpha", document_text())
         local.publish("beta", document_text("beta", OTHER_TOKEN))
         await local.wait_ready()
--- a/acacialine/tools/local.py
+++ b/acacialine/tools/local.py
@@ -28,6 +28,24 @@
     platform: platform_tool.PlatformStandin
     backends: dict[str, backend_tool.BackendStandin]
     entries: dict[str, entry_lib.Entry]
+    extra: dict[str, dict[str, object]]
+    nursery: trio.Nursery
+
+    async def start_entry(
+        self,
+        plan: layout_lib.EntryPlan,
+        extra: dict[str, dict[str, object]] | None = None,
+    ) -> entry_lib.Entry:
+        """Starts one entry with further settings."""
+        merged = {s: dict(v) for s, v in self.extra.items()}
+        for section, values in (extra or {}).items():
+            merged.setdefault(section, {}).update(values)
+        url = "http://" + layout_lib.text_of(self.layout.platform)
+        text = layout_lib.settings_text(plan, url, merged)
+        entry = entry_lib.new_entry(settings_lib.read_settings(text, plan.name))
+        self.entries[plan.name] = entry
+        await self.nursery.start(entry.run)
+        return entry
 
     def publish(self, team: str, text: str, base: int = 0) -> int:
         """Appends a document to the log without further ado."""
@@ -61,13 +79,21 @@
     layout: layout_lib.Layout,
     extra: dict[str, dict[str, object]] | None = None,
     idle_s: float = 30.0,
+    first: int | None = None,
 ):
-    """Runs everything of a layout for the length of a block."""
+    """Runs a layout for the length of a block.
+
+    Args:
+        layout: What to run.
+        extra: Further settings of the entries, by section.
+        idle_s: Idle limit of the backend servers' connections.
+        first: Number of entries to start; all by default.
+    """
     platform = platform_tool.PlatformStandin()
-    local = Local(layout, platform, {}, {})
     for vm in layout_lib.vms_of(layout):
         platform.set_vm(vm)
     async with trio.open_nursery() as nursery:
+        local = Local(layout, platform, {}, {}, extra or {}, nursery)
         app = platform_tool.new_asgi_app(platform)
         await nursery.start(http.new_server(app, layout.platform))
         for plan in layout.backends:
@@ -75,12 +101,7 @@
             local.backends[plan.name] = standin
             app = backend_tool.new_asgi_app(standin)
             await nursery.start(http.new_server(app, plan.address, idle_s))
-        url = "http://" + layout_lib.text_of(layout.platform)
-        for plan in layout.entries:
-            text = layout_lib.settings_text(plan, url, extra)
-            settings = settings_lib.read_settings(text, plan.name)
-            entry = entry_lib.new_entry(settings)
-            local.entries[plan.name] = entry
-            await nursery.start(entry.run)
+        for plan in layout.entries[:first]:
+            await local.start_entry(plan)
         yield local
         nursery.cancel_scope.cancel()
