Peer links reject and report every failed handshake; rolling replacement

Cause: an expired certificate or plain text on a TLS peer link was refused but not reported: trio wraps the TLS error, and the test for its class missed it. Change: whatever fails before a peer has proved itself is reported and counted. Tests: keys, rotation, TLS, garbage, oversized frames, large and garbage bodies beside lone tasks, and the replacement of all entries under load.

--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -356,6 +356,7 @@
     if identity.server_tls:
         stream = trio.SSLStream(stream, identity.server_tls, server_side=True)
     link = FramedStream(stream)
+    peer = ""
     try:
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
             peer = await accept(link, identity)
@@ -371,8 +372,9 @@
     except errors.PeerError as error:
         on_rejected(str(error))
     except _LINK_ERRORS as error:
-        if isinstance(error, ssl.SSLError):
-            on_rejected(f"TLS: {error}")
+        if not peer:
+            reason = error.__cause__ or error
+            on_rejected(f"no handshake: {type(reason).__name__}: {reason}")
     finally:
         with trio.CancelScope(shield=True):
             await link.aclose()
--- a/acacialine/tests/test_processes.py
+++ b/acacialine/tests/test_processes.py
@@ -265,6 +265,27 @@
             journal = checker.read_journals(parts.journals())
             self.assertEqual(checker.check(journal, []), [])
 
+    def test_rolling_replacement_fails_no_job(self):
+        """Every entry is replaced, one after another, under load."""
+        support.run(self._rolling, seconds=150)
+
+    async def _rolling(self):
+        async with self._running(("a", "b"), (2, 2), (2, 2)) as parts:
+            load = Load(parts, 7)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(load.run, 200, 12.0)
+                for plan in parts.layout.entries:
+                    await trio.sleep(0.5)
+                    self.assertEqual(await parts.stop(plan.name), 0)
+                    parts.start_entry(plan)
+                    await parts.wait_ready()
+            self._assert_promises(parts, load)
+            failed = [
+                r for r in load.results if r.outcome != errors.Outcome.COMPLETE
+            ]
+            self.assertEqual(failed, [])
+            self.assertEqual(len(load.results), 200)
+
     def test_leaving_backend_gets_no_new_work(self):
         support.run(self._leaving, seconds=120)
 
