bench slopes: cost of an entry over entries, zones, VMs, teams and load

Cause: docs/CAPACITY.md needs slopes that were measured. Change: acacialine bench slopes; control bytes are counted.

--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -425,6 +425,27 @@
     _print_figures(trio.run(startcost.measure), form)
 
 
+@bench.command("slopes")
+@_FORMAT
+def bench_slopes(form) -> None:
+    """Slopes of an entry's cost over entries, VMs, teams and load."""
+    import msgspec
+    import trio
+
+    from acacialine import operators
+    from acacialine.tools import slopes
+
+    def progress(text: str) -> None:
+        click.echo(text, err=True)
+
+    found = trio.run(slopes.measure, progress)
+    if form == "json":
+        click.echo(msgspec.json.encode(found).decode())
+        return
+    names = ["variable", "measure", "intercept", "slope", "error"]
+    operators.print_objects(found.fits, names)
+
+
 @bench.command("run")
 @click.option(
     "--deployment",
--- a/acacialine/entry.py
+++ b/acacialine/entry.py
@@ -195,11 +195,15 @@
                 peer_id,
                 peer.incarnation.address,
                 self._peer_refused,
+                self._count_sent,
             )
             self._controls[peer_id] = control
             self._nursery.start_soon(control.run)
         control.post(message)
 
+    def _count_sent(self, count: int) -> None:
+        self.tables.counters["control_bytes"] += count
+
     def _peer_refused(self, peer_id: str) -> None:
         """Buries a peer whose listener is gone, after a second look."""
         peer = self.tables.peers.get(peer_id)
--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -46,11 +46,9 @@
 
     stream: trio.abc.Stream
     _buffer: bytearray = attrs.field(factory=bytearray)
-    bytes_sent: int = 0
 
     async def send_bytes(self, data: bytes) -> None:
         """Sends one block of bytes."""
-        self.bytes_sent += len(data) + LENGTH_BYTES
         await self.stream.send_all(
             len(data).to_bytes(LENGTH_BYTES, "big") + data
         )
@@ -188,10 +186,10 @@
     peer_id: str
     address: tuple[str, int]
     on_refused: collections.abc.Callable[[str], None]
+    on_sent: collections.abc.Callable[[int], None]
     _send: trio.MemorySendChannel = attrs.field(init=False)
     _receive: trio.MemoryReceiveChannel = attrs.field(init=False)
     dropped: int = 0
-    bytes_sent: int = 0
 
     def __attrs_post_init__(self):
         self._send, self._receive = trio.open_memory_channel(OUTBOX_FRAMES)
@@ -241,7 +239,7 @@
                 data = codec.encode(codec.Frame(0, message))
                 with trio.fail_after(WRITE_TIMEOUT_S):
                     await link.send_bytes(data)
-                self.bytes_sent += len(data) + LENGTH_BYTES
+                self.on_sent(len(data) + LENGTH_BYTES)
             nursery.cancel_scope.cancel()
             return True
         return False
--- /dev/null
+++ b/acacialine/tools/slopes.py
@@ -0,0 +1,202 @@
+"""Slopes of an entry's cost over entries, backend servers, teams and load."""
+
+import collections.abc
+import pathlib
+import re
+import statistics
+
+import attrs
+import httpcore
+import msgspec
+import trio
+
+from acacialine import clock
+from acacialine import documents
+from acacialine import platforms
+from acacialine.tools import layout as layout_lib
+from acacialine.tools import local as local_lib
+from acacialine.tools import processes
+from acacialine.tools import startcost
+
+MEASURE_S = 5.0
+SETTLE_S = 3.0
+ZONES = ("a", "b", "c")
+TOKEN = "baekdu-demo-token"
+
+
+@attrs.frozen
+class Point:
+    """What one entry costs at one setting of a variable.
+
+    Attributes:
+        cpu_percent: CPU time per time, in percent of one core.
+        memory_mb: Resident memory.
+        control_kb_s: Control bytes sent per second, in KB.
+    """
+
+    variable: str
+    value: float
+    cpu_percent: float
+    memory_mb: float
+    control_kb_s: float
+
+
+@attrs.frozen
+class Fit:
+    """A straight line through the points of one variable.
+
+    Attributes:
+        error: Standard deviation of the residuals.
+    """
+
+    variable: str
+    measure: str
+    intercept: float
+    slope: float
+    error: float
+
+
+@attrs.frozen
+class Slopes:
+    """All points and the lines through them."""
+
+    points: list[Point]
+    fits: list[Fit]
+
+
+def fit(points: list[Point], variable: str, measure: str) -> Fit:
+    """Fits a line by least squares."""
+    chosen = [p for p in points if p.variable == variable]
+    xs = [p.value for p in chosen]
+    ys = [getattr(p, measure) for p in chosen]
+    line = statistics.linear_regression(xs, ys)
+    residuals = [
+        y - line.intercept - line.slope * x for x, y in zip(xs, ys, strict=True)
+    ]
+    return Fit(
+        variable,
+        measure,
+        round(line.intercept, 4),
+        round(line.slope, 6),
+        round(statistics.pstdev(residuals), 4),
+    )
+
+
+def _memory_mb(pid: int) -> float:
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", text)[1]) / 1024
+
+
+def _team_document(number: int) -> str:
+    digest = documents.token_digest(f"token-{number}")
+    return (
+        f"[service]\nteam = team-{number}\nquota_starts = 1000\n"
+        f"[tokens]\none = {digest}\n[kind work]\ndeclared_ms = 100\n"
+    )
+
+
+async def _measure(
+    variable: str,
+    value: float,
+    *,
+    entries: int = 2,
+    zones: int = 1,
+    backends: int = 2,
+    teams: int = 0,
+    rate: float = 0.0,
+) -> Point:
+    """Runs an installation and measures its first entry."""
+    layout = layout_lib.new_layout(
+        list(ZONES[:zones]), [entries] * zones, [2] * zones
+    )
+    texts = {
+        "baekdu": (local_lib.EXAMPLES / "baekdu.ini").read_text(),
+        **{f"team-{n}": _team_document(n) for n in range(teams)},
+    }
+    async with processes.running(layout, texts, {}, faults=False) as parts:
+        for number in range(2, backends):
+            await parts.platform_request(
+                "PUT", "/control/vms", _idle_vm(number)
+            )
+        await trio.sleep(SETTLE_S)
+        first = layout.entries[0]
+        pid = parts.pid(first.name)
+        async with trio.open_nursery() as nursery:
+            if rate:
+                nursery.start_soon(_load, parts, first.name, rate)
+            await trio.sleep(1.0)
+            cpu = startcost.cpu_s(pid)
+            sent = await _control_bytes(parts, first)
+            begin = clock.now()
+            await trio.sleep(MEASURE_S)
+            spent_s = clock.now() - begin
+            cpu = startcost.cpu_s(pid) - cpu
+            sent = await _control_bytes(parts, first) - sent
+            nursery.cancel_scope.cancel()
+        return Point(
+            variable,
+            value,
+            round(100 * cpu / spent_s, 3),
+            round(_memory_mb(pid), 2),
+            round(sent / 1000 / spent_s, 3),
+        )
+
+
+def _idle_vm(number: int) -> platforms.Vm:
+    """Returns a listed backend server that nothing is started on."""
+    zone = f"far-{number % 11}"
+    return platforms.Vm(f"idle-{number}", "backend", "127.0.0.1:9", zone)
+
+
+async def _control_bytes(parts, plan) -> int:
+    status = await parts.status(plan)
+    return status.counters.get("control_bytes", 0) if status else 0
+
+
+async def _load(parts, name: str, rate: float) -> None:
+    """Sends jobs of 10 tasks, open loop, at a rate of task starts."""
+    address = layout_lib.text_of(parts.callers()[name])
+    tasks = [{"payload": {"run_ms": 20}}] * 10
+    body = msgspec.json.encode({"kind": "gate-check", "tasks": tasks})
+    headers = {"Authorization": f"Bearer {TOKEN}"}
+
+    async def one(pool) -> None:
+        await pool.request(
+            "POST", f"http://{address}/v1/jobs", headers=headers, content=body
+        )
+
+    async with (
+        httpcore.AsyncConnectionPool(retries=0) as pool,
+        trio.open_nursery() as nursery,
+    ):
+        while True:
+            nursery.start_soon(one, pool)
+            await trio.sleep(10 / rate)
+
+
+async def measure(
+    progress: collections.abc.Callable[[str], None],
+) -> Slopes:
+    """Varies one thing at a time and fits lines."""
+    settings: list[tuple[str, float, dict]] = []
+    for count in (2, 4, 6):
+        settings.append(("zone_entries", count, {"entries": count}))
+    for zones in (1, 2, 3):
+        settings.append(("zones", zones, {"zones": zones}))
+    for count in (2, 290, 870):
+        settings.append(("backends", count, {"backends": count}))
+    for count in (0, 13, 26):
+        settings.append(("teams", count, {"teams": count}))
+    for rate in (40, 80, 160):
+        settings.append(("starts_per_s", rate, {"rate": rate}))
+    points = []
+    for variable, value, changes in settings:
+        point = await _measure(variable, value, **changes)
+        progress(f"{point}")
+        points.append(point)
+    fits = [
+        fit(points, variable, measured)
+        for variable in dict.fromkeys(s[0] for s in settings)
+        for measured in ("cpu_percent", "memory_mb", "control_kb_s")
+    ]
+    return Slopes(points, fits)
