Callers' connections close before an entry reports unhealthy

Cause: behind a balancer that misroutes established connections when health changes (Ilyevsky, Simulacra and Network Virtualization, Mux 2021), answers in flight are lost at a planned stop.

--- a/acacialine/settings.py
+++ b/acacialine/settings.py
@@ -236,7 +236,7 @@
         ini.Option(
             "close_first_s",
             ini.number(0, 600),
-            "0",
+            "0.5",
             "Time, before reporting unhealthy, in which connections of callers"
             " are closed after each answer, in s.",
         ),
--- a/acacialine/tests/test_path.py
+++ b/acacialine/tests/test_path.py
@@ -3,6 +3,7 @@
 import unittest
 
 import msgspec
+import trio
 
 from acacialine.tests import support
 
@@ -89,6 +90,26 @@
                     )
                     self.assertEqual(status, 404)
 
+    def test_connections_close_before_health_changes(self):
+        support.run(self._close_first)
+
+    async def _close_first(self):
+        extra = {"stop": {"close_first_s": 1.0, "unhealthy_s": 0.2}}
+        async with support.installation(["a"], [2], [1], extra) as local:
+            plan = local.layout.entries[0]
+            caller = support.Caller(plan.caller)
+            local.entries[plan.name].stop()
+            await trio.sleep(0.1)
+            status, _, _ = await caller.request("GET", "/health")
+            self.assertEqual(status, 200)
+            status, headers, _ = await caller.request(
+                "POST", "/v1/tasks/quick", b"{}"
+            )
+            self.assertEqual((status, headers["connection"]), (200, "close"))
+            await trio.sleep(1.0)
+            status, _, _ = await caller.request("GET", "/health")
+            self.assertEqual(status, 503)
+
     def test_one_task_with_a_raw_body(self):
         support.run(self._raw)
 
