Asks add up to the waiting tasks

Cause: what was left after free slots was rounded up at every broker, so one waiting task was asked for five times and up to four grants came back. Change: the parts add up to the count; the brokers take turns at the remainder.

--- a/acacialine/asks.py
+++ b/acacialine/asks.py
@@ -144,6 +144,9 @@
         return result
     own_slots, _ = broker.capacity(tables, now)
     free_left = {p.id: p.load.free for p in targets}
+    # Every entry begins with another broker, and with a new one at times.
+    first = tables.beat % len(targets)
+    targets = targets[first:] + targets[:first]
     for want in sorted(wanted, key=lambda w: w.rank):
         left = want.count
         for peer in targets:
@@ -174,11 +177,19 @@
     targets: list[tables_lib.Peer],
     own_slots: int,
 ) -> None:
-    """Adds waiting tasks to brokers in proportion to their slots."""
-    total = own_slots + sum(p.load.slots for p in targets)
-    for peer in targets:
-        part = math.ceil(count * peer.load.slots / max(1, total))
-        _add(result, peer, want, part)
+    """Adds waiting tasks to brokers in proportion to their slots.
+
+    The parts add up to the count: each surplus grant would be returned. The
+    own broker's part is not asked for.
+    """
+    total = max(1, own_slots + sum(p.load.slots for p in targets))
+    parts = [count * p.load.slots // total for p in targets]
+    left = count - sum(parts) - count * own_slots // total
+    for index in range(left):
+        parts[index % len(parts)] += 1
+    for peer, part in zip(targets, parts, strict=True):
+        if part > 0:
+            _add(result, peer, want, part)
 
 
 def _summary(
