Peer messages are encoded field by field; more idle call links

Cause: the profile of an entry at a steady load shows 10% of its samples in encode, and links to peers being closed and dialled again (2%). Change: schema fields are set one by one instead of from nested dicts; 64 idle call links to a peer instead of 8.

--- a/acacialine/codec.py
+++ b/acacialine/codec.py
@@ -77,21 +77,22 @@
 def encode(frame: Frame) -> bytes:
     """Encodes a frame without its length prefix."""
     name = _NAMES[type(frame.message)]
-    content = _to_dict(_PLANS[name], frame.message)
-    built = _SCHEMA.Frame.new_message(
-        requestId=frame.request_id, **{name: content}
-    )
-    return built.to_bytes_packed()
+    builder = _SCHEMA.Frame.new_message()
+    builder.requestId = frame.request_id
+    _fill(builder.init(name), _PLANS[name], frame.message)
+    return builder.to_bytes_packed()
 
 
-def _to_dict(plan: _Plan, message) -> dict:
-    result = {}
+def _fill(builder, plan: _Plan, message) -> None:
+    """Sets field by field, which is much cheaper than from nested dicts."""
     for field in plan.fields:
         value = getattr(message, field.name)
         if field.item:
-            value = [_to_dict(field.item, entry) for entry in value]
-        result[field.wire_name] = value
-    return result
+            entries = builder.init(field.wire_name, len(value))
+            for index, entry in enumerate(value):
+                _fill(entries[index], field.item, entry)
+        else:
+            setattr(builder, field.wire_name, value)
 
 
 def decode(data: bytes) -> Frame:
--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -28,7 +28,7 @@
 RECONNECT_S = 0.1
 RECONNECT_MAX_S = 2.0
 WRITE_TIMEOUT_S = 5.0
-IDLE_CALL_LINKS = 8
+IDLE_CALL_LINKS = 64  # to one peer; a new link costs two round trips
 LENGTH_BYTES = 4
 
 
