Tests that gave two verdicts give one

The proxy repeated the first chunk of a reply, which was the head alone when the server wrote head and body apart, so that the caller read a head as the body: bytes that no network makes. No promise is checked less.

--- a/acacialine/tools/faultproxy.py
+++ b/acacialine/tools/faultproxy.py
@@ -8,6 +8,7 @@
 import contextlib
 import enum
 import functools
+import re
 import socket
 import struct
 
@@ -18,6 +19,7 @@
 
 CHUNK_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
+_CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.I)
 HELLO_NAME_AT = links.LENGTH_BYTES + 64  # after length, nonce and proof
 
 
@@ -31,7 +33,7 @@
     RESET_MID_REPLY = "reset_mid_reply"  # after part of the reply
     HALF_OPEN = "half_open"  # the request never arrives, nothing is closed
     SWALLOW_REPLY = "swallow_reply"  # the reply never arrives
-    REPEAT_REPLY = "repeat_reply"  # the first reply arrives twice
+    REPEAT_REPLY = "repeat_reply"  # each reply arrives twice
     CLOSE_ON_REUSE = "close_on_reuse"  # closes as a second request arrives
 
 
@@ -94,6 +96,7 @@
     delay_s: float
     sent: int = 0
     replied: int = 0
+    held: bytes = b""
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -139,7 +142,6 @@
         return data
 
     async def _filter_reply(self, data: bytes) -> bytes:
-        first = self.replied == 0
         self.replied += len(data)
         if self.fault == Fault.RESET_AFTER_BODY:
             self._cut()
@@ -149,10 +151,20 @@
             with contextlib.suppress(*_ERRORS):
                 await self.client.send_all(data[: len(data) // 2])
             self._cut()
-        if self.fault == Fault.REPEAT_REPLY and first:
-            return data + data
+        if self.fault == Fault.REPEAT_REPLY:
+            return self._repeat_when_whole(data)
         return data
 
+    def _repeat_when_whole(self, data: bytes) -> bytes:
+        """Holds a reply back until it is whole, then passes it on twice."""
+        self.held += data
+        head, end, body = self.held.partition(b"\r\n\r\n")
+        length = _CONTENT_LENGTH.search(head)
+        if not end or (length and len(body) < int(length[1])):
+            return b""
+        whole, self.held = self.held, b""
+        return whole + whole
+
     def _cut(self) -> None:
         _reset(self.client)
         _reset(self.server)
