--- a/acacialine/broker.py
+++ b/acacialine/broker.py
@@ -9,6 +9,7 @@
 import attrs
 
 from acacialine import actions
+from acacialine import documents
 from acacialine import health
 from acacialine import messages
 from acacialine import queues
@@ -124,7 +125,9 @@
     return slot
 
 
-def _kind_of(tables: tables_lib.Tables, group: tables_lib.Group):
+def _kind_of(
+    tables: tables_lib.Tables, group: tables_lib.Group
+) -> documents.Kind | None:
     document = tables.fold.documents.get(group.team)
     return document.kinds.get(group.kind) if document else None
 
@@ -135,12 +138,9 @@
     group: tables_lib.Group,
 ) -> bool:
     """Returns whether the backend server has what a task needs left."""
-    document = tables.fold.documents.get(group.team)
-    kind = document.kinds.get(group.kind) if document else None
+    kind = _allowed_kind(tables, backend, group)
     if kind is None:
         return False
-    if document.zones and backend.zone not in document.zones:
-        return False
     return (
         backend.used_cpus + kind.cpus <= backend.cpus
         and backend.used_memory_mb + kind.memory_mb <= backend.memory_mb
@@ -155,12 +155,9 @@
     group: tables_lib.Group,
 ) -> bool:
     """Returns whether an idle backend server has what a task needs."""
-    document = tables.fold.documents.get(group.team)
-    kind = document.kinds.get(group.kind) if document else None
+    kind = _allowed_kind(tables, backend, group)
     if kind is None:
         return False
-    if document.zones and backend.zone not in document.zones:
-        return False
     return (
         kind.cpus <= backend.cpus
         and kind.memory_mb <= backend.memory_mb
@@ -168,6 +165,20 @@
     )
 
 
+def _allowed_kind(
+    tables: tables_lib.Tables,
+    backend: tables_lib.Backend,
+    group: tables_lib.Group,
+) -> documents.Kind | None:
+    """Returns the kind of a group if its team may use the zone."""
+    document = tables.fold.documents.get(group.team)
+    if document is None:
+        return None
+    if document.zones and backend.zone not in document.zones:
+        return None
+    return document.kinds.get(group.kind)
+
+
 def connections_per_backend(tables: tables_lib.Tables) -> int:
     """Returns the connections this entry may have to one backend server.
 
--- a/acacialine/tools/benchrun.py
+++ b/acacialine/tools/benchrun.py
@@ -130,9 +130,37 @@
                 httpcore.TimeoutException,
             ):
                 return
+            if _is_gone(response):
+                # The first copy went nowhere: it may go under the new prefix.
+                self._renew(sent, response)
+                headers["Submission-Id"] = sent.submission_id
+                try:
+                    response = await self._pools[sent.entry].request(
+                        "POST", url, headers=headers, content=body
+                    )
+                except (
+                    httpcore.NetworkError,
+                    httpcore.ProtocolError,
+                    httpcore.TimeoutException,
+                ):
+                    return
             sent.answered_at = clock.now()
             _read_answer(sent, response.content)
 
+    def _renew(self, sent: Sent, response: httpcore.Response) -> None:
+        """Takes the prefix of the entry that answered."""
+        answer = msgspec.json.decode(response.content)
+        self.prefixes[sent.entry] = answer["prefix"]
+        key = sent.submission_id.partition("/")[2]
+        sent.submission_id = f"{answer['prefix']}/{key}"
+
+
+def _is_gone(response: httpcore.Response) -> bool:
+    if response.status != 503:
+        return False
+    answer = msgspec.json.decode(response.content)
+    return answer.get("code") == "coordinator_gone"
+
 
 def _body_of(sent: Sent) -> bytes:
     plan = sent.plan
