--- a/acacialine/tests/test_submissions.py
+++ b/acacialine/tests/test_submissions.py
@@ -165,6 +165,38 @@
             )
             self.assertEqual(body["started"], [0, 1])
 
+    def test_a_copy_keeps_its_own_deadline(self):
+        support.run(self._copy_deadline)
+
+    async def _copy_deadline(self):
+        async with support.installation(["a"], [2], [1]) as local:
+            first, second = (
+                support.Caller(p.caller) for p in local.layout.entries
+            )
+            text = f"{await first.prefix()}/slow"
+            task = {"kind": "quick", "tasks": [{"payload": {"run_ms": 900}}]}
+            body = msgspec.json.encode(task)
+            answers = []
+
+            async def send(caller, deadline_ms):
+                status, _, content = await caller.request(
+                    "POST",
+                    "/v1/jobs",
+                    body,
+                    Submission_Id=text,
+                    Deadline_Ms=deadline_ms,
+                )
+                answers.append((status, msgspec.json.decode(content)))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send, first, "4000")
+                await trio.sleep(0.1)
+                nursery.start_soon(send, second, "300")
+            (status, copy), (last, whole) = answers
+            self.assertEqual((status, copy["outcome"]), (504, "unknown"))
+            self.assertEqual((last, whole["outcome"]), (200, "complete"))
+            self.assertEqual(len(starts_of(local)), 1)
+
     def test_connections_stay_within_the_share(self):
         support.run(self._connections)
 
