A late refusal on a kept connection no longer allows a second start

Cause: found by reading the start-once path once more as an adversary. A reply without Task-Id on a reused connection was taken for the reply to the new task. A late second copy of a 503 with Not-Run, arriving after the check for input, would have made a running task count as not started, and it would have been started again; a late 200 would have been another task's answer. Ruled out: cancellation, exceptions in the runner, relays and forwards, all of which end as unknown. Change: a connection is kept only if its reply named the task; a reply on a kept connection that names none is unknown. Backend servers that do not echo Task-Id get a connection for each start.

--- a/acacialine/starter.py
+++ b/acacialine/starter.py
@@ -90,12 +90,18 @@
             if now >= start.use_until or now >= start.deadline:
                 done = True
                 return Result(_NOT_STARTED, reason="expired")
+            reused = connection.is_idle()
             response, content = await self._exchange(
                 connection, _request(self._origin, start, now)
             )
+            echoes = _echo_of(response) is not None
+            if reused and not echoes:
+                # It may be a late copy of the reply before.
+                return Result(_UNKNOWN, reason="reply names no task")
             result = _result_of(response, content, start.task_id)
-            # A stray reply leaves the connection out of step.
-            done = connection.is_idle() and result.outcome != _UNKNOWN
+            # Replies on a kept connection must tell which task they are for.
+            kept = echoes and result.outcome != _UNKNOWN
+            done = kept and connection.is_idle()
             return result
         except (
             httpcore.NetworkError,
@@ -226,11 +232,19 @@
     return httpcore.Request("POST", url, headers=headers, content=start.body)
 
 
+def _echo_of(response: httpcore.Response) -> bytes | None:
+    """Returns the task id that a reply names, if it names one."""
+    for name, value in response.headers:
+        if name.lower() == b"task-id":
+            return value
+    return None
+
+
 def _result_of(
     response: httpcore.Response, content: bytes, task_id: str
 ) -> Result:
     headers = {name.lower(): value for name, value in response.headers}
-    echoed = headers.get(b"task-id")
+    echoed = _echo_of(response)
     if echoed is not None and echoed != task_id.encode():
         return Result(_UNKNOWN, reason="reply to another task")
     framed = b"content-length" in headers or b"transfer-encoding" in headers
