An entry without configuration answers 503, not 401

Cause: test_rolling_replacement failed once: a starting entry knew no team yet and answered 401. Change: 503 until a document is in force, health included.

--- a/acacialine/frontend.py
+++ b/acacialine/frontend.py
@@ -92,6 +92,10 @@
             return self._health()
         if path == "/v1/coordinator" and request.method == "GET":
             return self._coordinator()
+        if not self._tables.fold.documents:
+            # No team is known yet; nothing of this copy is kept or handed on.
+            text = request.headers.get("submission-id", "")
+            return self._reply(submissions.gone(self._tables, text))
         document = self._authenticate(request)
         if document is None:
             return self._reply(self._unauthorized(request))
@@ -106,7 +110,9 @@
         return self._reply(_not_found("no such resource"))
 
     def _health(self) -> Reply:
-        healthy = not self._tables.draining
+        healthy = bool(
+            self._tables.fold.documents and not self._tables.draining
+        )
         status = 200 if healthy else 503
         state = b"ok" if healthy else b"draining"
         return Reply(status, {"content-type": "text/plain"}, state)
