--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -36,6 +36,34 @@
     trio.run(entry_lib.run_until_signal, daemon)
 
 
+@cli.command()
+@click.option(
+    "-c",
+    "--config",
+    "path",
+    required=True,
+    envvar="ACACIALINE_NODE_FILE",
+    type=click.Path(exists=True, dir_okay=False),
+    help="Settings file (INI).",
+)
+def dispatcher(path: str) -> None:
+    """Runs a dispatcher on the users' platform."""
+    import pathlib
+
+    import trio
+
+    from acacialine import dispatcher as dispatcher_lib
+    from acacialine import dispatchsettings
+    from acacialine import log
+
+    log.set_up()
+    text = pathlib.Path(path).read_text()
+    daemon = dispatcher_lib.new_dispatcher(
+        dispatchsettings.read_settings(text, path)
+    )
+    trio.run(dispatcher_lib.run_until_signal, daemon)
+
+
 @cli.command()
 @click.option("--serve", is_flag=True, help="Keep running for own requests.")
 def demo(serve: bool) -> None:
--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -158,6 +158,53 @@
 
 struct Acknowledged { }
 
+struct ZoneState {
+  sender @0 :Text;
+  name @1 :Text;
+  zone @2 :Text;
+  started @3 :Float64;
+  claim @4 :UInt64;
+  isCandidate @5 :Bool;
+  configVersion @6 :UInt64;
+  freeTasks @7 :UInt32;
+  waitS @8 :Float64;
+  isReply @9 :Bool;
+}
+
+struct SubmitJob {
+  jobId @0 :Text;
+  queue @1 :Text;
+  service @2 :Text;
+  priority @3 :Int32;
+  maxAttempts @4 :UInt32;
+  stretch @5 :Float64;
+  targetLatencyS @6 :Float64;
+  spec @7 :Text;
+  count @8 :UInt32;
+  cpu @9 :UInt32;
+  memoryMb @10 :UInt32;
+  gpu @11 :UInt32;
+  estimateS @12 :Float64;
+  label @13 :Text;
+  ageS @14 :Float64;
+  leftS @15 :Float64;
+  handovers @16 :UInt32;
+  isSpilled @17 :Bool;
+}
+
+struct CancelJob { jobId @0 :Text; reason @1 :Text; }
+
+struct JobVerdict {
+  jobId @0 :Text;
+  verdict @1 :Text;
+  reason @2 :Text;
+  retryAfterS @3 :Float64;
+}
+
+struct RoutesCall { version @0 :UInt64; }
+
+struct RoutesReply { version @0 :UInt64; document @1 :Data; }
+
 struct Frame {
   requestId @0 :UInt64;
   union {
@@ -176,5 +223,11 @@
     configCall @13 :ConfigCall;
     configReply @14 :ConfigReply;
     acknowledged @15 :Acknowledged;
+    zoneState @16 :ZoneState;
+    submitJob @17 :SubmitJob;
+    cancelJob @18 :CancelJob;
+    jobVerdict @19 :JobVerdict;
+    routesCall @20 :RoutesCall;
+    routesReply @21 :RoutesReply;
   }
 }
--- /dev/null
+++ b/acacialine/directory.py
@@ -0,0 +1,66 @@
+"""Records by which entries find each other in the platform's store."""
+
+import attrs
+import msgspec
+
+TOPIC = "keyed.entries"
+
+
+@attrs.frozen
+class EntryRecord:
+    """What an entry says of itself.
+
+    Attributes:
+        id: Its incarnation; the key of the record.
+        claim: Its epoch while it is the placer of its zone, else 0.
+    """
+
+    id: str
+    name: str
+    zone: str
+    address: str
+    started: float
+    claim: int
+
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        """Where its peers connect."""
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
+
+@attrs.define(eq=False)
+class Directory:
+    """The newest record of each entry and when it was last renewed."""
+
+    records: dict[str, EntryRecord] = attrs.field(factory=dict)
+    renewed_at: dict[str, float] = attrs.field(factory=dict)
+
+    def apply(self, key: str, value: bytes, now: float) -> None:
+        """Takes in one record.
+
+        Raises:
+            ValueError: It can't be read.
+        """
+        if not value:
+            self.records.pop(key, None)
+            self.renewed_at.pop(key, None)
+            return
+        record = msgspec.json.decode(value, type=EntryRecord)
+        for other in list(self.records.values()):
+            if other.address != record.address or other.id == key:
+                continue
+            if other.started > record.started:
+                return  # an earlier process at the same address
+            self.apply(other.id, b"", now)
+        self.records[key] = record
+        self.renewed_at[key] = now
+
+    def expired(self, age_s: float, now: float) -> list[str]:
+        """Returns the keys that were not renewed for a time."""
+        return [key for key, at in self.renewed_at.items() if now - at > age_s]
+
+
+def encode(record: EntryRecord) -> bytes:
+    """Encodes a record for the store."""
+    return msgspec.json.encode(record)
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -288,6 +288,86 @@
     """A call was carried out."""
 
 
+@attrs.frozen
+class ZoneState:
+    """Heartbeat between dispatchers; each one is answered with one.
+
+    Attributes:
+        started: Start of the process in s since 1970.
+        claim: Epoch while the sender is the placer of its zone, else 0.
+        free_tasks: Tasks of the usual size that could start now.
+        wait_s: Predicted wait of a job that arrives now, in s.
+    """
+
+    sender: str
+    name: str
+    zone: str
+    started: float
+    claim: int
+    is_candidate: bool
+    config_version: int
+    free_tasks: int
+    wait_s: float
+    is_reply: bool
+
+
+@attrs.frozen
+class SubmitJob:
+    """A job on its way from the entry that received it to a placer."""
+
+    job_id: str
+    queue: str
+    service: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_latency_s: float
+    spec: str
+    count: int
+    cpu: int
+    memory_mb: int
+    gpu: int
+    estimate_s: float
+    label: str
+    age_s: float
+    left_s: float
+    handovers: int
+    is_spilled: bool
+
+
+@attrs.frozen
+class CancelJob:
+    """Nobody waits for a job at the sender any more."""
+
+    job_id: str
+    reason: str
+
+
+@attrs.frozen
+class JobVerdict:
+    """How a job ended; the value of a zonetables.Verdict."""
+
+    job_id: str
+    verdict: str
+    reason: str
+    retry_after_s: float
+
+
+@attrs.frozen
+class RoutesCall:
+    """Asks for the configuration if it is newer than the version."""
+
+    version: int
+
+
+@attrs.frozen
+class RoutesReply:
+    """The configuration document as the platform stores it."""
+
+    version: int
+    document: bytes
+
+
 Message = (
     Heartbeat
     | AskMessage
@@ -303,4 +383,10 @@
     | ConfigCall
     | ConfigReply
     | Acknowledged
+    | ZoneState
+    | SubmitJob
+    | CancelJob
+    | JobVerdict
+    | RoutesCall
+    | RoutesReply
 )
--- /dev/null
+++ b/acacialine/ownership.py
@@ -0,0 +1,179 @@
+"""Which entry of an availability zone is its placer.
+
+No agreement is needed: each backend server obeys the highest epoch that it
+has seen, so two entries that both believe to be the placer cannot both give
+orders to one server. The rules here only make such disagreement rare and
+short. A zone that is cut off decides on its own.
+"""
+
+import enum
+
+import attrs
+
+SILENT_S = 0.6  # without a heartbeat before a peer counts as dead
+START_WAIT_S = 1.2  # for heartbeats of others before the first claim
+ISOLATED_WAIT_S = 2.5  # before an entry that hears nobody claims
+CLAIM_KEPT_S = 3.0  # age up to which a claim in the store counts
+FENCED_WAIT_S = 1.0  # before a fenced owner may claim again
+EPOCH_RANDOM_BITS = 18  # makes epochs of two claims in 0.1 s differ
+EPOCH_UNITS_PER_S = 10
+EPOCH_MAX = 2**53 - 1  # exact in every JSON implementation
+
+
+class Role(enum.Enum):
+    """What this entry is in its zone."""
+
+    FOLLOWER = "follower"
+    PLACER = "placer"
+
+
+@attrs.define(eq=False)
+class Member:
+    """Another entry of the same zone.
+
+    Attributes:
+        heard_at: When a heartbeat last came; None before the first.
+        claim: Its epoch while it is the placer, else 0.
+        is_candidate: Whether it would take over.
+        started: Start of its process; the older entry goes first.
+        refused: Whether its address refuses connections.
+    """
+
+    id: str
+    started: float
+    heard_at: float | None = None
+    claim: int = 0
+    is_candidate: bool = True
+    refused: bool = False
+
+    def is_live(self, now: float) -> bool:
+        """Returns whether it was heard a short time ago."""
+        if self.heard_at is None or self.refused:
+            return False
+        return now - self.heard_at < SILENT_S
+
+
+@attrs.define(eq=False)
+class Ownership:
+    """Decides when this entry claims its zone and when it steps down.
+
+    Attributes:
+        epoch: Epoch of the own claim; 0 without one.
+        is_candidate: False while this entry stops or is too slow.
+        stored_claim: Newest claim of another entry in the store, with the
+            time at which it was read.
+    """
+
+    my_id: str
+    my_started: float
+    since: float
+    members: dict[str, Member] = attrs.field(factory=dict)
+    epoch: int = 0
+    highest_epoch: int = 0
+    is_candidate: bool = True
+    stored_claim: tuple[str, float] | None = None
+    _not_before: float = 0.0
+    _alone_since: float | None = None
+
+    @property
+    def role(self) -> Role:
+        """What this entry is at present."""
+        return Role.PLACER if self.epoch else Role.FOLLOWER
+
+    def hear(
+        self,
+        member_id: str,
+        started: float,
+        claim: int,
+        is_candidate: bool,
+        now: float,
+    ) -> None:
+        """Takes in a heartbeat of an entry of the same zone."""
+        member = self.members.get(member_id)
+        if member is None:
+            member = Member(member_id, started)
+            self.members[member_id] = member
+        member.heard_at = now
+        member.refused = False
+        member.claim = claim
+        member.is_candidate = is_candidate
+        self.highest_epoch = max(self.highest_epoch, claim)
+
+    def placer(self, now: float) -> str | None:
+        """Returns the entry to which jobs of this zone go."""
+        best, best_epoch = (self.my_id, self.epoch) if self.epoch else (None, 0)
+        for member in self.members.values():
+            if member.claim > best_epoch and member.is_live(now):
+                best, best_epoch = member.id, member.claim
+        return best
+
+    def decide(
+        self, now: float, wall_s: float, random_bits: int
+    ) -> Role | None:
+        """Returns the new role if it changes now, else None.
+
+        Args:
+            now: Time on the clock of this process.
+            wall_s: Time of day, for an epoch above earlier ones.
+            random_bits: Random number of EPOCH_RANDOM_BITS bits.
+        """
+        leader = self.placer(now)
+        if self.epoch:
+            if leader != self.my_id or not self.is_candidate:
+                self.epoch = 0
+                self._not_before = now + FENCED_WAIT_S / 2
+                return Role.FOLLOWER
+            return None
+        if leader is not None or not self._may_claim(now):
+            return None
+        base = int(wall_s * EPOCH_UNITS_PER_S) << EPOCH_RANDOM_BITS
+        epoch = base | random_bits
+        if epoch <= self.highest_epoch:
+            # The time of day went back; stay above all that was seen.
+            step = 1 << EPOCH_RANDOM_BITS
+            epoch = (self.highest_epoch // step + 1) * step + random_bits
+        self.epoch = self.highest_epoch = min(epoch, EPOCH_MAX)
+        return Role.PLACER
+
+    def fenced(self, now: float) -> None:
+        """A majority of backend servers obeys a higher epoch: steps down."""
+        self.epoch = 0
+        self._not_before = now + FENCED_WAIT_S
+        # The epoch that fenced is not known; later claims must pass it.
+        step = EPOCH_UNITS_PER_S << EPOCH_RANDOM_BITS
+        self.highest_epoch += step
+
+    def _may_claim(self, now: float) -> bool:
+        if not self.is_candidate or now < self._not_before:
+            return False
+        if now - self.since < START_WAIT_S:
+            return False
+        live = [m for m in self.members.values() if m.is_live(now)]
+        silent = [
+            m
+            for m in self.members.values()
+            if not m.refused and m.heard_at is not None and m not in live
+        ]
+        if live or not silent:
+            self._alone_since = None
+        elif not self._may_claim_alone(now):
+            return False
+        return all(
+            not m.is_candidate
+            or (self.my_started, self.my_id) < (m.started, m.id)
+            for m in live
+        )
+
+    def _may_claim_alone(self, now: float) -> bool:
+        """Nobody is heard: the others are dead, or this entry is cut off."""
+        if self._alone_since is None:
+            self._alone_since = now
+        if self.stored_claim is not None:
+            member_id, read_at = self.stored_claim
+            if member_id != self.my_id and now - read_at < CLAIM_KEPT_S:
+                return False
+        return now - self._alone_since >= ISOLATED_WAIT_S
+
+    def is_isolated(self, now: float) -> bool:
+        """Returns whether this entry hears no placer and can't be one yet."""
+        return not self.epoch and self.placer(now) is None
--- /dev/null
+++ b/acacialine/placerhost.py
@@ -0,0 +1,308 @@
+"""Runs a placer: carries out its orders at the backend servers.
+
+One task for each backend server looks at what runs there; one task for each
+order waits for its answer.
+"""
+
+import attrs
+import trio
+
+from acacialine import clock
+from acacialine import events
+from acacialine import messages
+from acacialine import orders as orders_lib
+from acacialine import placer as placer_lib
+from acacialine import resources
+from acacialine import schedule
+from acacialine import zonetables
+from acacialine.platform import serverclient
+
+ACKNOWLEDGE_S = 0.5  # for a look that only acknowledges ends
+RETRY_LOOK_S = 0.1
+RETRY_LOOK_MAX_S = 0.8
+TYPICAL_DEMAND = resources.Resources(cpu=7000)  # until a job was seen
+
+
+@attrs.define(eq=False)
+class ServerTask:
+    """What the host keeps for one backend server."""
+
+    client: serverclient.ServerClient
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    wake: trio.Event = attrs.field(factory=trio.Event)
+
+
+@attrs.define(eq=False)
+class PlacerHost:
+    """The placer of this zone and its connections to backend servers.
+
+    Attributes:
+        is_fenced: Whether a backend server obeys a higher epoch.
+    """
+
+    placer: placer_lib.Placer
+    epoch: int
+    is_fenced: bool = False
+    _dispatcher: object = None
+    _nursery: trio.Nursery = None
+    _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _tasks: dict[str, ServerTask] = attrs.field(factory=dict)
+    _usual: resources.Resources = TYPICAL_DEMAND
+    _closed: bool = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether jobs or runs are open."""
+        tables = self.placer.tables
+        return bool(tables.jobs) or any(s.runs for s in tables.servers.values())
+
+    def submit(self, submission: placer_lib.Submission, origin) -> None:
+        """Takes a job in; the answer goes to origin.post."""
+        self._usual = submission.step.demand
+        self.placer.submit(submission, origin, clock.now())
+        self._dispatcher.wake()
+
+    def cancel(self, job_id: str, origin, reason: str) -> None:
+        """Forgets that somebody waits for a job."""
+        self.placer.cancel(job_id, origin, reason, clock.now())
+        self._dispatcher.wake()
+
+    def drop_origin(self, origin) -> None:
+        """Cancels all that an entry waits for."""
+        self.placer.drop_origin(origin, clock.now())
+
+    def pending(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not begun."""
+        return sum(
+            1
+            for job in self.placer.tables.jobs.values()
+            if job.queue.name == queue and job.first_start_at is None
+        )
+
+    def room(self) -> tuple[int, float]:
+        """Returns how many usual tasks could start now, and the wait."""
+        tables = self.placer.tables
+        now = clock.now()
+        waiting = sum(len(j.waiting) for j in tables.jobs.values())
+        services = {s.service for s in tables.servers.values()}
+        free = 0
+        for service in services:
+            times = schedule.slot_times(tables, service, self._usual, "", now)
+            free += sum(1 for t in times if t <= now)
+        return max(0, free - waiting), 0.0
+
+    def look_again(self) -> None:
+        """After a pause, looks at every server before it starts anything."""
+        for server in self.placer.tables.servers.values():
+            server.listed = False
+        for task in self._tasks.values():
+            task.wake.set()
+
+    def apply_servers(self, now: float) -> None:
+        """Takes in the servers of this zone that the store names."""
+        found = self._dispatcher.reader.servers_of(self._dispatcher.zone)
+        self.placer.apply_servers(found, now)
+        servers = self.placer.tables.servers
+        for server_id, server in servers.items():
+            task = self._tasks.get(server_id)
+            if task is None or task.client.server is not server:
+                if task is not None:
+                    task.scope.cancel()
+                self._add_task(server)
+            elif not server.listed:
+                task.wake.set()
+        for server_id in list(self._tasks):
+            if server_id not in servers:
+                self._tasks.pop(server_id).scope.cancel()
+
+    def _add_task(self, server: zonetables.Server) -> None:
+        settings = self._dispatcher.settings.placement
+        client = serverclient.ServerClient(
+            server, self.epoch, settings.lease_ms / 1000, self._observe
+        )
+        task = ServerTask(client)
+        self._tasks[server.id] = task
+        self._nursery.start_soon(self._run_looks, task)
+
+    def tick(self, now: float) -> None:
+        """Lets the placer decide and carries out its orders."""
+        self.placer.tick(now)
+        for order in self.placer.take_orders():
+            self._execute(order)
+
+    def _execute(self, order: orders_lib.Order) -> None:
+        match order:
+            case orders_lib.StartRun(run):
+                self._nursery.start_soon(self._start, run)
+            case orders_lib.StopRun(run):
+                self._nursery.start_soon(self._stop, run)
+            case orders_lib.AnswerJob():
+                message = messages.JobVerdict(
+                    order.job_id,
+                    order.verdict.value,
+                    order.reason,
+                    order.retry_after_s,
+                )
+                for origin in order.origins:
+                    origin.post(message)
+            case orders_lib.LogDecision(event, fields):
+                self._dispatcher.log(event, **fields)
+
+    async def _start(self, run: zonetables.Run) -> None:
+        task = self._tasks.get(run.server.id)
+        if task is None or self._closed:
+            outcome = orders_lib.StartOutcome.NOT_STARTED
+        else:
+            task.wake.set()
+            outcome = await task.client.start(run)
+        if self._closed:
+            return
+        if outcome == orders_lib.StartOutcome.FENCED:
+            self._fenced(run.server)
+        self.placer.start_result(run, outcome, clock.now())
+        if task is not None:
+            task.wake.set()
+        self._dispatcher.wake()
+
+    async def _stop(self, run: zonetables.Run) -> None:
+        task = self._tasks.get(run.server.id)
+        if task is None or self._closed:
+            return
+        confirmed = await task.client.stop(run)
+        if not self._closed:
+            self.placer.stop_result(run, confirmed, clock.now())
+            task.wake.set()
+            self._dispatcher.wake()
+
+    async def _run_looks(self, task: ServerTask) -> None:
+        """Looks at one server while anything runs there."""
+        settings = self._dispatcher.settings.placement
+        server = task.client.server
+        retry_s = RETRY_LOOK_S
+        with task.scope:
+            while not self._closed:
+                wait_s = settings.look_wait_ms / 1000
+                if not server.listed:
+                    wait_s = 0.0
+                elif not server.runs:
+                    task.wake = trio.Event()
+                    pause_s = (
+                        ACKNOWLEDGE_S
+                        if server.has_unacknowledged
+                        else float("inf")
+                    )
+                    with trio.move_on_after(pause_s):
+                        await task.wake.wait()
+                        continue
+                    wait_s = 0.0
+                acknowledged = server.acknowledged
+                try:
+                    await task.client.look(wait_s)
+                except serverclient.FencedError:
+                    self._fenced(server)
+                    await trio.sleep(RETRY_LOOK_S)
+                except serverclient.LookError as error:
+                    self._look_failed(server, error)
+                    await trio.sleep(retry_s)
+                    retry_s = min(retry_s * 2, RETRY_LOOK_MAX_S)
+                else:
+                    retry_s = RETRY_LOOK_S
+                    if server.acknowledged == acknowledged:
+                        server.has_unacknowledged = False
+                self._dispatcher.wake()
+
+    def _look_failed(self, server: zonetables.Server, error: Exception) -> None:
+        if server.silent_since is None:
+            self._dispatcher.log(
+                events.Event.ZONE_SERVER_SILENT,
+                server=server.id,
+                reason=str(error),
+            )
+        self.placer.server_silent(server, clock.now())
+
+    def _fenced(self, server: zonetables.Server) -> None:
+        self.is_fenced = True
+        self.placer.lost_ownership(server, clock.now())
+        self._dispatcher.wake()
+
+    def _observe(
+        self,
+        client: serverclient.ServerClient,
+        seen: orders_lib.Observation,
+        asked_at: float,
+    ) -> None:
+        if not self._closed:
+            self.placer.observe(client.server, seen, asked_at, clock.now())
+            self._dispatcher.wake()
+
+    def close(self) -> None:
+        """Gives no more orders; the next owner lists what runs."""
+        self._closed = True
+        for task in self._tasks.values():
+            task.scope.cancel()
+        for job in self.placer.tables.jobs.values():
+            for origin in job.origins:
+                origin.post(messages.JobVerdict(job.id, "resigned", "", 0.0))
+
+
+def new_host(dispatcher, epoch: int, nursery: trio.Nursery, now: float):
+    """Creates the host of a new owner of the dispatcher's zone."""
+    late_share = dispatcher.settings.placement.late_share
+    placer = placer_lib.new_placer(dispatcher.zone, late_share, now)
+    return PlacerHost(placer, epoch, dispatcher=dispatcher, nursery=nursery)
+
+
+def encode_submission(
+    submission: placer_lib.Submission,
+) -> messages.SubmitJob:
+    """Turns a submission into a message."""
+    queue = submission.queue
+    step = submission.step
+    return messages.SubmitJob(
+        submission.job_id,
+        queue.name,
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_latency_s,
+        submission.spec,
+        step.count,
+        step.demand.cpu,
+        step.demand.memory_mb,
+        step.demand.gpu,
+        step.estimate_s,
+        step.label,
+        submission.age_s,
+        submission.left_s,
+        submission.handovers,
+        submission.is_spilled,
+    )
+
+
+def decode_submission(
+    message: messages.SubmitJob,
+) -> placer_lib.Submission:
+    """Turns a message into a submission."""
+    queue = zonetables.Queue(
+        message.queue,
+        message.service,
+        message.priority,
+        message.max_attempts,
+        message.stretch,
+        message.target_latency_s,
+    )
+    demand = resources.Resources(message.cpu, message.memory_mb, message.gpu)
+    step = zonetables.Step(
+        message.count, demand, message.estimate_s, message.label
+    )
+    return placer_lib.Submission(
+        message.job_id,
+        queue,
+        message.spec,
+        step,
+        message.age_s,
+        message.left_s,
+        message.handovers,
+        message.is_spilled,
+    )
