A job's deadline is what its caller says, not the route's timeout

Ruled out: that a caller sends the job again after the 504 (no try beyond 1,455 of 1,455 jobs was seen).

--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -17,6 +17,7 @@
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 SPEC_MAX_BYTES = 4000  # the platform's bound of a job's spec
+DEFAULT_DEADLINE_S = 60.0  # for callers and routes that name none
 TASKS_MAX = 10000  # per step; far above the widest job of 1,600 tasks
 _UNSUPPORTED = (
     "after",
@@ -228,15 +229,17 @@
 
 
 def _time_left_s(headers: dict, route: routes.Route) -> float:
-    """Returns how long the caller and the route wait, in s."""
+    """Returns how long the caller waits, in s.
+
+    The route's timeout is the operator's default for callers that don't say.
+    """
     raw = headers.get(b"deadline-ms", b"")
-    times = [route.timeout_s] if route.timeout_s > 0 else []
-    if raw:
-        try:
-            times.append(float(raw) / 1000)
-        except ValueError as error:
-            raise MalformedError(f"Deadline-Ms: {error}") from error
-    return min(times, default=60.0)
+    if not raw:
+        return route.timeout_s or DEFAULT_DEADLINE_S
+    try:
+        return float(raw) / 1000
+    except ValueError as error:
+        raise MalformedError(f"Deadline-Ms: {error}") from error
 
 
 async def _read_body(receive, limit: int) -> bytes | None:
