Structured, bounded log, meters, explain, settings re-read

Cause: an on-call engineer had no way from a request's id to its cause, and a changed settings file was not taken in.

--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -54,14 +54,35 @@
 
     from acacialine import dispatcher as dispatcher_lib
     from acacialine import dispatchsettings
-    from acacialine import log
 
-    log.set_up()
     text = pathlib.Path(path).read_text()
     daemon = dispatcher_lib.new_dispatcher(
         dispatchsettings.read_settings(text, path)
     )
-    trio.run(dispatcher_lib.run_until_signal, daemon)
+    trio.run(dispatcher_lib.run_until_signal, daemon, path)
+
+
+@cli.command()
+@click.argument("job_id")
+@click.argument("logs", nargs=-1, type=click.File("r", errors="replace"))
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def explain(job_id: str, logs, as_json: bool) -> None:
+    """Tells the story of a job from LOGS of all entries, or standard input."""
+    import itertools
+
+    import attrs
+    import msgspec
+
+    from acacialine import explain as explain_lib
+
+    files = logs or (click.get_text_stream("stdin", errors="replace"),)
+    story = explain_lib.explain(job_id, itertools.chain(*files))
+    if as_json:
+        click.echo(msgspec.json.encode(attrs.asdict(story)).decode())
+    else:
+        click.echo(explain_lib.format_story(story))
+    if not story.lines:
+        sys.exit(1)
 
 
 @cli.command()
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -5,6 +5,8 @@
 """
 
 import functools
+import os
+import pathlib
 import random
 import signal
 import time
@@ -17,14 +19,17 @@
 from acacialine import clock
 from acacialine import directory as directory_lib
 from acacialine import dispatchsettings
+from acacialine import errors
+from acacialine import eventlog
 from acacialine import events
 from acacialine import ids
 from acacialine import intake as intake_lib
 from acacialine import links
-from acacialine import log as log_lib
 from acacialine import messages
+from acacialine import meters as meters_lib
 from acacialine import ownership as ownership_lib
 from acacialine import peering
+from acacialine import placer as placer_lib
 from acacialine import placerhost
 from acacialine import routes
 from acacialine import storereader
@@ -35,6 +40,8 @@
 CALLER_IDLE_S = 60.0
 PAUSE_S = 0.4  # a gap between ticks after which this process was paused
 DIAL_S = 0.3
+HOUSEKEEPING_S = 0.5
+SETTINGS_POLL_S = 1.0  # the file may change without a signal
 OTHER_ZONE_LINKS = 2  # to a zone whose placer is not known
 STOP_READY_S = 2.2  # the balancer needs two misses a second apart
 STOP_MARGIN_S = 0.7  # before the process would be killed
@@ -51,7 +58,7 @@
     """
 
     settings: dispatchsettings.Settings
-    logger: log_lib.Logger
+    logger: eventlog.EventLog
     identity: links.Identity
     started: float
     is_stopping: bool = False
@@ -60,6 +67,7 @@
     hub: peering.Hub = attrs.field(init=False)
     host: placerhost.PlacerHost | None = None
     reader: storereader.StoreReader = attrs.field(init=False)
+    meters: meters_lib.Meters = attrs.field(factory=meters_lib.Meters)
     _nursery: trio.Nursery = attrs.field(init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _stop: trio.Event = attrs.field(factory=trio.Event)
@@ -117,6 +125,32 @@
     def log(self, event: events.Event, **fields) -> None:
         """Writes one event."""
         self.logger.event(event, **fields)
+        self.meters.events.labels(event.name.lower()).inc()
+
+    def answered(
+        self,
+        submission: placer_lib.Submission,
+        status: int,
+        answer: intake_lib.Answer,
+        took_s: float,
+    ) -> None:
+        """Writes and counts an answer to a caller."""
+        queue = submission.queue.name
+        self.meters.answers.labels(queue, status).inc()
+        self.meters.answer_s.labels(queue).observe(took_s)
+        event = events.Event.REQUEST_ANSWERED
+        if answer.kind != intake_lib.AnswerKind.COMPLETED:
+            event = events.Event.REQUEST_FAILED
+        if answer.kind == intake_lib.AnswerKind.NOT_RUN:
+            self.meters.refusals.labels(answer.reason).inc()
+        self.log(
+            event,
+            job=submission.job_id,
+            status=status,
+            outcome=answer.kind.value,
+            reason=answer.reason,
+            took_ms=round(took_s * 1000),
+        )
 
     def pending(self, queue: str) -> int:
         """Returns how many open jobs of a queue have not begun, as known."""
@@ -136,6 +170,7 @@
             self._dial_known()
             nursery.start_soon(self._run_ticks)
             nursery.start_soon(self._run_dialling)
+            nursery.start_soon(self._run_housekeeping)
             self.reader.start(nursery)
             self.log(events.Event.DISPATCHER_STARTED, zone=self.zone)
             task_status.started()
@@ -154,6 +189,7 @@
         for app, address in (
             (ingress.Ingress(self), entry.caller_address),
             (ingress.Readiness(self), entry.ready_address),
+            (self.meters, entry.metrics_address),
         ):
             config = asgi.new_config(address, CALLER_IDLE_S)
             await nursery.start(
@@ -416,6 +452,45 @@
             for r in self.intake.requests.values()
         )
 
+    async def _run_housekeeping(self) -> None:
+        """Keeps the gauges and writes what log readers did not take."""
+        while True:
+            due = clock.now() + HOUSEKEEPING_S
+            await trio.sleep(HOUSEKEEPING_S)
+            self.meters.loop_lag_s.observe(max(0.0, clock.now() - due))
+            self.meters.log_dropped.set(self.logger.sink.dropped)
+            self.meters.epoch.set(self.ownership.epoch)
+            if self.host is not None:
+                self.host.report(self.meters)
+            self.logger.flush()
+
+    # Settings
+
+    def reload(self, text: str, source: str) -> None:
+        """Takes in changed settings; what needs a new process is said."""
+        try:
+            settings = dispatchsettings.read_settings(text, source)
+        except errors.FindingsError as error:
+            self.log(
+                events.Event.SETTINGS_REJECTED,
+                findings="; ".join(str(f) for f in error.findings),
+            )
+            return
+        if settings == self.settings:
+            return
+        kept = self.settings.dispatcher
+        changed = attrs.evolve(
+            settings,
+            dispatcher=attrs.evolve(kept, seeds=settings.dispatcher.seeds),
+        )
+        needs_restart = changed.dispatcher != settings.dispatcher
+        if settings.store.address != self.settings.store.address:
+            self.reader.move(settings.store.address)
+        self.settings = changed
+        self.log(
+            events.Event.SETTINGS_RELOADED, needs_restart=int(needs_restart)
+        )
+
     # Stop
 
     def stop(self) -> None:
@@ -446,25 +521,49 @@
     me = ids.new_incarnation(*entry.peer_address)
     return Dispatcher(
         settings,
-        log_lib.Logger(entry.name),
+        eventlog.new_event_log(entry.name),
         links.Identity(me, entry.peer_keys),
         time.time(),
     )
 
 
-async def run_until_signal(dispatcher: Dispatcher) -> None:
+async def run_until_signal(dispatcher: Dispatcher, path: str) -> None:
     """Runs a dispatcher until SIGTERM or SIGINT asks for a planned stop."""
     wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*wanted) as signals:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_follow_signals, signals, dispatcher)
+            nursery.start_soon(_follow_signals, signals, dispatcher, path)
+            nursery.start_soon(_follow_file, dispatcher, path)
             await dispatcher.run()
             nursery.cancel_scope.cancel()
 
 
-async def _follow_signals(signals, dispatcher: Dispatcher) -> None:
+async def _follow_signals(signals, dispatcher: Dispatcher, path: str) -> None:
     async for number in signals:
         if number == signal.SIGHUP:
-            dispatcher.log(events.Event.SETTINGS_RELOADED)
+            _reload(dispatcher, path)
         else:
             dispatcher.stop()
+
+
+async def _follow_file(dispatcher: Dispatcher, path: str) -> None:
+    """Reads the settings file again when it has changed."""
+    read_at = None
+    while True:
+        try:
+            changed_at = os.stat(path).st_mtime_ns
+        except OSError:
+            changed_at = read_at  # being replaced; the next look finds it
+        if read_at is not None and changed_at != read_at:
+            _reload(dispatcher, path)
+        read_at = changed_at
+        await trio.sleep(SETTINGS_POLL_S)
+
+
+def _reload(dispatcher: Dispatcher, path: str) -> None:
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as error:
+        dispatcher.log(events.Event.SETTINGS_REJECTED, findings=str(error))
+        return
+    dispatcher.reload(text, path)
--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -132,6 +132,7 @@
         request = self.requests.get(submission.job_id)
         if request is not None:
             request.notify.append(notify)
+            self._log(events.Event.REQUEST_JOINED, job=submission.job_id)
             return
         deadline_at = now + submission.left_s - DEADLINE_MARGIN_S
         self.requests[submission.job_id] = Request(
@@ -194,6 +195,13 @@
         self._orders.append(
             Withdraw(held.peer_id, request.submission.job_id, "handed on")
         )
+        self._log(
+            events.Event.REQUEST_TARGET_LOST,
+            job=request.submission.job_id,
+            placer=held.peer_id,
+            epoch=held.epoch,
+            age_ms=round((now - request.received_at) * 1000),
+        )
         request.target = None
         request.handovers += 1
         request.lost_at = now
@@ -245,6 +253,17 @@
             is_spilled=request.was_spilled,
         )
         self._orders.append(HandOver(target, submission))
+        self._log(
+            events.Event.REQUEST_HANDED_OVER,
+            job=submission.job_id,
+            queue=submission.queue.name,
+            placer=target.peer_id,
+            epoch=target.epoch,
+            zone=target.zone,
+            report_age_ms=round((now - target.reported_at) * 1000),
+            left_ms=round(submission.left_s * 1000),
+            spilled=int(request.was_spilled),
+        )
 
     def verdict(
         self,
@@ -284,13 +303,6 @@
                 spilled = self._spilled.get(other.zone, 0)
                 self._spilled[other.zone] = spilled + count
                 self._send(request, other, now)
-                self._log(
-                    events.Event.REQUEST_HANDED_OVER,
-                    job=request.submission.job_id,
-                    zone=other.zone,
-                    reason=reason,
-                    free_tasks=other.free_tasks,
-                )
                 return
         kind = AnswerKind.NOT_RUN
         self._answer(request, Answer(kind, reason, retry_after_s))
--- /dev/null
+++ b/acacialine/meters.py
@@ -0,0 +1,78 @@
+"""Counters and latency histograms of a dispatcher, as text for scrapers."""
+
+import prometheus_client
+from prometheus_client import exposition
+
+from acacialine import asgi
+
+# Upper bounds in s: below one task of 50 ms up to beyond a caller's patience.
+_LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+
+
+class Meters:
+    """The meters of one process; docs/OPERATIONS.md says what each means."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.answers = self._counter(
+            "acacialine_answers", "Answers to callers.", ("queue", "status")
+        )
+        self.refusals = self._counter(
+            "acacialine_refusals", "Jobs answered as not run.", ("reason",)
+        )
+        self.events = self._counter(
+            "acacialine_events", "Numbered events.", ("event",)
+        )
+        self.answer_s = self._histogram(
+            "acacialine_answer_seconds", "Time to the answer.", ("queue",)
+        )
+        self.first_start_s = self._histogram(
+            "acacialine_first_start_seconds",
+            "Time from a job's arrival to its first start.",
+            ("queue",),
+        )
+        self.runs = self._counter(
+            "acacialine_runs_ended", "Runs by how they ended.", ("how",)
+        )
+        self.loop_lag_s = self._histogram(
+            "acacialine_loop_lag_seconds", "Lateness of the loop.", ()
+        )
+        self.log_dropped = self._gauge(
+            "acacialine_log_dropped", "Log lines dropped so far.", ()
+        )
+        self.epoch = self._gauge(
+            "acacialine_epoch", "Epoch of the own claim; 0 without.", ()
+        )
+        self.servers = self._gauge(
+            "acacialine_servers", "Backend servers by state.", ("state",)
+        )
+        self.cpu = self._gauge(
+            "acacialine_cpu_millicores", "Processors of servers.", ("state",)
+        )
+        self.open_jobs = self._gauge(
+            "acacialine_jobs_open", "Jobs at this placer.", ()
+        )
+
+    def _counter(self, name: str, doc: str, labels: tuple):
+        return prometheus_client.Counter(
+            name, doc, labels, registry=self.registry
+        )
+
+    def _gauge(self, name: str, doc: str, labels: tuple):
+        return prometheus_client.Gauge(
+            name, doc, labels, registry=self.registry
+        )
+
+    def _histogram(self, name: str, doc: str, labels: tuple):
+        return prometheus_client.Histogram(
+            name, doc, labels, registry=self.registry, buckets=_LATENCY_BUCKETS
+        )
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serves the meters as an ASGI application on /metrics."""
+        if scope["path"] != "/metrics":
+            await asgi.reply(send, 404, b"", [])
+            return
+        body = exposition.generate_latest(self.registry)
+        kind = exposition.CONTENT_TYPE_LATEST.encode()
+        await asgi.reply(send, 200, body, [(b"content-type", kind)])
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -358,13 +358,34 @@
             if judge.is_usable(s, now) and not _has_unclaimed(s)
         ]
         for job in schedule.in_order(waiting, now):
+            started = []
             for _ in range(len(job.waiting)):
                 index = job.waiting[0]
                 server = self._choose_server(job, index, usable, now)
                 if server is None:
                     break
                 job.waiting.popleft()
-                self._start(job, index, server, now)
+                started.append((index, self._start(job, index, server, now)))
+            if started:
+                self._log_started(job, started, now)
+
+    def _log_started(
+        self,
+        job: zonetables.Job,
+        started: list[tuple[int, zonetables.Run]],
+        now: float,
+    ) -> None:
+        """Writes one line for all tasks of a job that start together."""
+        self._log(
+            events.Event.ZONE_RUN_STARTED,
+            job=job.id,
+            tasks=",".join(str(index) for index, _ in started),
+            servers=",".join(run.server.id for _, run in started),
+            runs=",".join(str(run.number) for _, run in started),
+            expected_ms=_ms(job.estimate_s),
+            still_waiting=len(job.waiting),
+            slack_ms=_ms(job.objective_at - job.estimate_s - now),
+        )
 
     def _choose_server(
         self,
@@ -400,7 +421,7 @@
         index: int,
         server: zonetables.Server,
         now: float,
-    ) -> None:
+    ) -> zonetables.Run:
         number = job.next_number.get(index, 1)
         job.next_number[index] = number + 1
         expected_s = job.estimate_s * judge.slowness(server, now)
@@ -421,6 +442,7 @@
             job.first_start_at = now
         self.tables.counters["starts"] += 1
         self._orders.append(orders_lib.StartRun(run))
+        return run
 
     def _forget(self, now: float) -> None:
         tables = self.tables
@@ -697,6 +719,7 @@
         """Gives back the room of a run and decides about its task."""
         server = run.server
         server.remove(run, now)
+        self.tables.counters[f"ended.{kind.value}"] += 1
         job = run.job
         if job is None:
             return
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -9,7 +9,9 @@
 
 from acacialine import clock
 from acacialine import events
+from acacialine import judge
 from acacialine import messages
+from acacialine import meters as meters_lib
 from acacialine import orders as orders_lib
 from acacialine import placer as placer_lib
 from acacialine import resources
@@ -49,6 +51,7 @@
     _tasks: dict[str, ServerTask] = attrs.field(factory=dict)
     _usual: resources.Resources = TYPICAL_DEMAND
     _closed: bool = False
+    _reported: dict[str, int] = attrs.field(factory=dict)
 
     @property
     def is_busy(self) -> bool:
@@ -91,6 +94,33 @@
             free += sum(1 for t in times if t <= now)
         return max(0, free - waiting), 0.0
 
+    def report(self, meters: meters_lib.Meters) -> None:
+        """Sets the gauges of the placer."""
+        now = clock.now()
+        tables = self.placer.tables
+        counts = dict.fromkeys(("usable", "draining", "avoided"), 0)
+        used = total = 0
+        for server in tables.servers.values():
+            if judge.is_usable(server, now):
+                counts["usable"] += 1
+                used += server.used.cpu
+                total += server.capacity.cpu
+            elif server.draining:
+                counts["draining"] += 1
+            else:
+                counts["avoided"] += 1
+        for state, count in counts.items():
+            meters.servers.labels(state).set(count)
+        meters.cpu.labels("used").set(used)
+        meters.cpu.labels("usable").set(total)
+        meters.open_jobs.set(len(tables.jobs))
+        for name, value in tables.counters.items():
+            kind, _, how = name.partition(".")
+            if kind == "ended":
+                change = value - self._reported.get(name, 0)
+                self._reported[name] = value
+                meters.runs.labels(how).inc(change)
+
     def look_again(self) -> None:
         """After a pause, looks at every server before it starts anything."""
         for server in self.placer.tables.servers.values():
@@ -133,6 +163,7 @@
     def _execute(self, order: orders_lib.Order) -> None:
         match order:
             case orders_lib.StartRun(run):
+                self._measure_first_start(run)
                 self._nursery.start_soon(self._start, run)
             case orders_lib.StopRun(run):
                 self._nursery.start_soon(self._stop, run)
@@ -148,6 +179,12 @@
             case orders_lib.LogDecision(event, fields):
                 self._dispatcher.log(event, **fields)
 
+    def _measure_first_start(self, run: zonetables.Run) -> None:
+        job = run.job
+        if job is not None and job.possible_starts == 1:
+            meter = self._dispatcher.meters.first_start_s
+            meter.labels(job.queue.name).observe(run.sent_at - job.arrived_at)
+
     async def _start(self, run: zonetables.Run) -> None:
         task = self._tasks.get(run.server.id)
         if task is None or self._closed:
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -162,9 +162,10 @@
         except UnsupportedError as error:
             await self._reject(send, job_id, 503, error)
             return
+        received_at = self._dispatcher.now()
         answer = await self._wait(submission, receive)
         if answer is not None:
-            await self._answer(send, answer)
+            await self._answer(send, submission, answer, received_at)
 
     async def _reject(self, send, job_id, status, error) -> None:
         self._dispatcher.log(
@@ -204,18 +205,26 @@
                 self._dispatcher.wake()
         return found[0] if found else None
 
-    async def _answer(self, send, answer: intake.Answer) -> None:
+    async def _answer(
+        self,
+        send,
+        submission: placer.Submission,
+        answer: intake.Answer,
+        received_at: float,
+    ) -> None:
         status = _STATUS[answer.kind]
+        retry_after_s = 0
+        body = b""
         if answer.kind == intake.AnswerKind.NOT_RUN:
             if answer.reason == "overloaded":
                 status = _TOO_BUSY
-            seconds = max(1, math.ceil(answer.retry_after_s))
-            await self._reply(send, status, b"", seconds)
+            retry_after_s = max(1, math.ceil(answer.retry_after_s))
         elif status == 200:
             body = b'{"state":"%s"}' % answer.kind.value.encode()
-            await self._reply(send, status, body)
-        else:
-            await self._reply(send, status)
+        self._dispatcher.answered(
+            submission, status, answer, self._dispatcher.now() - received_at
+        )
+        await self._reply(send, status, body, retry_after_s)
 
     async def _reply(
         self, send, status: int, body: bytes = b"", retry_after_s: int = 0
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -53,7 +53,10 @@
     _is_down: bool = False
 
     def __attrs_post_init__(self):
-        address = self._dispatcher.settings.store.address
+        self.move(self._dispatcher.settings.store.address)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Uses the store at another address from the next call on."""
         self._store = store_lib.new_store(address)
         self._config_store = store_lib.new_store(address)
         self._directory_store = store_lib.new_store(address)
