--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -287,6 +287,9 @@
                 self._answer(request, Answer(AnswerKind.FAILED, reason))
             case zonetables.Verdict.NOT_RUN.value:
                 self._not_run(request, reason, retry_after_s, now)
+            case "resigned":
+                # Its orders may have started tasks; its successor sees them.
+                self._lose_target(request, now)
             case _:
                 # It is not the placer any more and has not taken the job.
                 request.target = None
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -709,6 +709,8 @@
             progress_at=now,
         )
         server.add(run)
+        # Its lease is not known: an earlier owner or a late order gave it.
+        server.lease_until = max(server.lease_until, now + LAPSE_S)
         job = self.tables.jobs.get(row.key.job_id)
         if job is not None and row.key.index in job.waiting:
             self._claim(server, run, job)
