--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -167,8 +167,9 @@
   isCandidate @5 :Bool;
   configVersion @6 :UInt64;
   freeTasks @7 :UInt32;
-  waitS @8 :Float64;
-  isReply @9 :Bool;
+  placerId @8 :Text;
+  placerClaim @9 :UInt64;
+  isReply @10 :Bool;
 }
 
 struct SubmitJob {
--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -47,12 +47,10 @@
             self.renewed_at.pop(key, None)
             return
         record = msgspec.json.decode(value, type=EntryRecord)
+        # The last writer at an address lives; times of day may be wrong.
         for other in list(self.records.values()):
-            if other.address != record.address or other.id == key:
-                continue
-            if other.started > record.started:
-                return  # an earlier process at the same address
-            self.apply(other.id, b"", now)
+            if other.address == record.address and other.id != key:
+                self.apply(other.id, b"", now)
         self.records[key] = record
         self.renewed_at[key] = now
 
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -41,6 +41,9 @@
 PAUSE_S = 0.4  # a gap between ticks after which this process was paused
 DIAL_S = 0.3
 HOUSEKEEPING_S = 0.5
+LAG_SMOOTHING = 0.4
+LAG_LIMIT_S = 0.05  # average lateness; an idle loop is under 2 ms late
+SLOW_S = 5.0  # for which a late loop leaves the zone to others
 SETTINGS_POLL_S = 1.0  # the file may change without a signal
 OTHER_ZONE_LINKS = 2  # to a zone whose placer is not known
 STOP_READY_S = 2.2  # the balancer needs two misses a second apart
@@ -73,7 +76,9 @@
     _stop: trio.Event = attrs.field(factory=trio.Event)
     _random: random.Random = attrs.field(factory=random.Random)
     _last_tick: float = 0.0
-    _asked_routes: int = 0
+    _heard_of: dict[str, str] = attrs.field(factory=dict)
+    _lag_s: float = 0.0
+    _slow_until: float = 0.0
 
     def __attrs_post_init__(self):
         now = clock.now()
@@ -313,10 +318,9 @@
     # Peers
 
     def _own_state(self, is_reply: bool) -> messages.ZoneState:
-        free_tasks, wait_s = (0, 0.0)
-        if self.host is not None:
-            free_tasks, wait_s = self.host.room()
+        free_tasks = self.host.room() if self.host is not None else 0
         config = self.configuration
+        placer_id = self.ownership.placer(clock.now()) or ""
         return messages.ZoneState(
             self.my_id,
             self.settings.dispatcher.name,
@@ -326,13 +330,22 @@
             self.ownership.is_candidate,
             config.version if config else 0,
             free_tasks,
-            wait_s,
+            placer_id,
+            self.ownership.claim_of(placer_id),
             is_reply,
         )
 
     def _hear(self, state: messages.ZoneState) -> None:
+        """Learns who is there, also from others and without the store."""
+        self._heard_of[state.sender] = state.zone
+        if state.placer_id:
+            self._heard_of[state.placer_id] = state.zone
         if state.zone != self.zone or state.sender == self.my_id:
             return
+        if state.placer_id not in ("", self.my_id, state.sender):
+            self.ownership.hear_of(
+                state.placer_id, state.placer_claim, clock.now()
+            )
         self.ownership.hear(
             state.sender,
             state.started,
@@ -432,6 +445,13 @@
                 records = [r for r in records if r.claim]
             for record in records[:OTHER_ZONE_LINKS]:
                 wanted[record.peer_address] = zone
+        for peer_id in list(self._heard_of):
+            address = ids.parse_incarnation(peer_id).address
+            link = self.hub.peers.get(address)
+            if address not in wanted and link is not None and link.is_refused:
+                del self._heard_of[peer_id]
+            elif self._heard_of[peer_id] == self.zone:
+                wanted.setdefault(address, self.zone)
         if len(wanted) < 2:
             for address in self.settings.dispatcher.seeds:
                 wanted.setdefault(address, "")
@@ -457,13 +477,24 @@
         while True:
             due = clock.now() + HOUSEKEEPING_S
             await trio.sleep(HOUSEKEEPING_S)
-            self.meters.loop_lag_s.observe(max(0.0, clock.now() - due))
+            self._note_lag(max(0.0, clock.now() - due))
             self.meters.log_dropped.set(self.logger.sink.dropped)
             self.meters.epoch.set(self.ownership.epoch)
             if self.host is not None:
                 self.host.report(self.meters)
             self.logger.flush()
 
+    def _note_lag(self, lag_s: float) -> None:
+        """A loop that runs late is a bad place for the whole zone's work."""
+        self.meters.loop_lag_s.observe(lag_s)
+        self._lag_s += LAG_SMOOTHING * (lag_s - self._lag_s)
+        now = clock.now()
+        if self._lag_s > LAG_LIMIT_S:
+            self._slow_until = now + SLOW_S
+        self.ownership.is_candidate = (
+            not self.is_stopping and now >= self._slow_until
+        )
+
     # Settings
 
     def reload(self, text: str, source: str) -> None:
--- a/acacialine/explain.py
+++ b/acacialine/explain.py
@@ -67,7 +67,7 @@
         if job_id not in text:
             continue
         line = parse_line(text)
-        if line is not None:
+        if line is not None and _names(line, job_id):
             lines.append(line)
     lines.sort(key=lambda line: line.time)
     cause = "no event names this job"
@@ -82,6 +82,11 @@
     return Story(job_id, lines, cause, troubles)
 
 
+def _names(line: Line, job_id: str) -> bool:
+    task_job = line.fields.get("task", "").partition(".")[0]
+    return job_id in (line.fields.get("job"), task_job)
+
+
 def _fill(template: str, line: Line) -> str:
     return re.sub(r"\{(\w+)\}", lambda m: line.fields.get(m[1], "?"), template)
 
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -296,7 +296,8 @@
         started: Start of the process in s since 1970.
         claim: Epoch while the sender is the placer of its zone, else 0.
         free_tasks: Tasks of the usual size that could start now.
-        wait_s: Predicted wait of a job that arrives now, in s.
+        placer_id: The placer of the sender's zone as it knows; may be empty.
+        placer_claim: That placer's epoch.
     """
 
     sender: str
@@ -307,7 +308,8 @@
     is_candidate: bool
     config_version: int
     free_tasks: int
-    wait_s: float
+    placer_id: str
+    placer_claim: int
     is_reply: bool
 
 
--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -11,6 +11,7 @@
 import attrs
 
 SILENT_S = 0.6  # without a heartbeat before a peer counts as dead
+HEARD_OF_S = 0.35  # two heartbeats of the one who hears the placer
 START_WAIT_S = 1.2  # for heartbeats of others before the first claim
 ISOLATED_WAIT_S = 2.5  # before an entry that hears nobody claims
 CLAIM_KEPT_S = 3.0  # age up to which a claim in the store counts
@@ -74,6 +75,7 @@
     stored_claim: tuple[str, float] | None = None
     _not_before: float = 0.0
     _alone_since: float | None = None
+    _heard_of: tuple[int, float] = (0, -1e9)
 
     @property
     def role(self) -> Role:
@@ -119,7 +121,8 @@
         """
         leader = self.placer(now)
         if self.epoch:
-            if leader != self.my_id or not self.is_candidate:
+            gives_up = not self.is_candidate and self._has_successor(now)
+            if leader != self.my_id or gives_up:
                 self.epoch = 0
                 self._not_before = now + FENCED_WAIT_S / 2
                 return Role.FOLLOWER
@@ -135,6 +138,29 @@
         self.epoch = self.highest_epoch = min(epoch, EPOCH_MAX)
         return Role.PLACER
 
+    def _has_successor(self, now: float) -> bool:
+        return any(
+            m.is_candidate and m.is_live(now) for m in self.members.values()
+        )
+
+    def claim_of(self, member_id: str) -> int:
+        """Returns the epoch that an entry claims; 0 if it claims none."""
+        if member_id == self.my_id:
+            return self.epoch
+        member = self.members.get(member_id)
+        return member.claim if member else 0
+
+    def hear_of(self, member_id: str, claim: int, now: float) -> None:
+        """Another entry hears a placer that this one may not hear.
+
+        Such a claim keeps this entry from claiming, and from nothing else.
+        """
+        self.highest_epoch = max(self.highest_epoch, claim)
+        member = self.members.get(member_id)
+        if member is not None and (member.refused or member.is_live(now)):
+            return  # own evidence goes before what others say
+        self._heard_of = (claim, now)
+
     def fenced(self, now: float) -> None:
         """A majority of backend servers obeys a higher epoch: steps down."""
         self.epoch = 0
@@ -144,7 +170,9 @@
         self.highest_epoch += step
 
     def _may_claim(self, now: float) -> bool:
-        if not self.is_candidate or now < self._not_before:
+        if now < self._not_before or now - self._heard_of[1] < HEARD_OF_S:
+            return False
+        if not self.is_candidate and self._has_successor(now):
             return False
         if now - self.since < START_WAIT_S:
             return False
@@ -159,7 +187,7 @@
         elif not self._may_claim_alone(now):
             return False
         return all(
-            not m.is_candidate
+            (not m.is_candidate and self.is_candidate)
             or (self.my_started, self.my_id) < (m.started, m.id)
             for m in live
         )
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -632,7 +632,9 @@
         for run in list(server.runs.values()):
             if run.id not in listed and _is_over(run, sent_at):
                 self._run_ended(run, zonetables.EndKind.LOST, now)
-        if not server.listed:
+        # The capacity of a life that the store has not named is not known.
+        is_announced = server.announced_life in (0, seen.life)
+        if not server.listed and is_announced:
             server.listed = True
             self._log(
                 events.Event.ZONE_SERVER_LISTED,
@@ -658,8 +660,7 @@
         server.acknowledged = 0
         server.slowness = 1.0
         server.failures = 0.0
-        # Its capacity may differ; the list of servers tells later.
-        server.listed = server.announced_life in (0, seen.life)
+        server.listed = False
         for run in list(server.runs.values()):
             self._run_ended(run, zonetables.EndKind.LOST, now)
 
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -20,6 +20,7 @@
 from acacialine.platform import serverclient
 
 ACKNOWLEDGE_S = 0.5  # for a look that only acknowledges ends
+UNANNOUNCED_LOOK_S = 0.3  # at a life that the store has not named yet
 RETRY_LOOK_S = 0.1
 RETRY_LOOK_MAX_S = 0.8
 TYPICAL_DEMAND = resources.Resources(cpu=7000)  # until a job was seen
@@ -82,8 +83,8 @@
             if job.queue.name == queue and job.first_start_at is None
         )
 
-    def room(self) -> tuple[int, float]:
-        """Returns how many usual tasks could start now, and the wait."""
+    def room(self) -> int:
+        """Returns how many tasks of the usual size could start now."""
         tables = self.placer.tables
         now = clock.now()
         waiting = sum(len(j.waiting) for j in tables.jobs.values())
@@ -92,7 +93,7 @@
         for service in services:
             times = schedule.slot_times(tables, service, self._usual, "", now)
             free += sum(1 for t in times if t <= now)
-        return max(0, free - waiting), 0.0
+        return max(0, free - waiting)
 
     def report(self, meters: meters_lib.Meters) -> None:
         """Sets the gauges of the placer."""
@@ -246,6 +247,8 @@
                     retry_s = RETRY_LOOK_S
                     if server.acknowledged == acknowledged:
                         server.has_unacknowledged = False
+                    if not server.listed:
+                        await trio.sleep(UNANNOUNCED_LOOK_S)
                 self._dispatcher.wake()
 
     def _look_failed(self, server: zonetables.Server, error: Exception) -> None:
--- a/acacialine/tests/test_docs.py
+++ b/acacialine/tests/test_docs.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 
+from acacialine import dispatchsettings
 from acacialine import documents
 from acacialine import events
 from acacialine import settings
@@ -33,7 +34,8 @@
 
     def test_every_option_has_its_heading(self):
         text = (DOCS / "CONFIGURATION.md").read_text()
-        options = [o for group in settings.DEFAULTS.values() for o in group]
+        tables = (settings.DEFAULTS, dispatchsettings.DEFAULTS)
+        options = [o for t in tables for group in t.values() for o in group]
         options += documents.SERVICE_OPTIONS
         options += documents.LIMIT_OPTIONS
         options += documents.KIND_OPTIONS
--- /dev/null
+++ b/acacialine/tests/test_platform.py
@@ -0,0 +1,185 @@
+"""The adapter decodes the platform's bytes, and refuses the rest."""
+
+import struct
+import unittest
+
+import msgspec
+
+from acacialine import routes
+from acacialine import zonetables
+from acacialine.platform import ingress
+from acacialine.platform import records
+from acacialine.platform import serverclient
+from acacialine.platform import store
+
+SERVER = {
+    "service": "desk",
+    "address": "10.0.0.9:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482113,
+    "seq": 4,
+    "born": 1787906139683,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Nony24.example",
+            "pathPrefix": "/lohu930/",
+            "timeoutMs": 1500,
+            "targetLatencyMs": 60,
+            "priority": 0,
+            "service": "desk",
+            "maxAttempts": 2,
+            "stretch": 1.6,
+        },
+        {
+            "name": "r-2",
+            "host": "nony24.example",
+            "pathPrefix": "/lohu930/more/",
+            "service": "desk",
+        },
+    ],
+    "services": [],
+    "limits": {"maxBodyBytes": 1000},
+}
+
+
+def encode(content) -> bytes:
+    return msgspec.json.encode(content)
+
+
+class RecordsTest(unittest.TestCase):
+    def test_a_server_is_decoded(self):
+        found = records.decode_server("i-1", encode(SERVER), 5.0)
+        self.assertEqual(found.address, ("10.0.0.9", 8080))
+        self.assertEqual(found.capacity.memory_mb, 32768)
+        self.assertEqual(found.announced_life, 1787906139683)
+        self.assertFalse(found.draining)
+
+    def test_foreign_entries_name_no_server(self):
+        broken = [
+            b"\xff\x00",
+            b"[]",
+            b"7",
+            encode(SERVER | {"state": "resting"}),
+            encode(SERVER | {"capacity": None}),
+            encode(SERVER | {"capacity": {"cpu": "many"}}),
+            encode(SERVER | {"address": 7}),
+            encode(SERVER | {"address": "10.0.0.9"}),
+            encode(SERVER | {"labels": [3]}),
+            encode({k: v for k, v in SERVER.items() if k != "zone"}),
+        ]
+        for data in broken:
+            with self.assertRaises(ValueError, msg=data):
+                records.decode_server("i-1", data, 0.0)
+
+    def test_the_longest_prefix_of_a_host_wins(self):
+        config = records.decode_configuration(encode(CONFIG))
+        found = config.find("nony24.example", "/lohu930/more/0123")
+        self.assertEqual(found.queue.name, "r-2")
+        found = config.find("nony24.example", "/lohu930/0123")
+        self.assertEqual(found.queue.name, "r-1")
+        self.assertEqual(found.timeout_s, 1.5)
+        self.assertIsNone(config.find("nony24.example", "/other/0123"))
+        self.assertIsNone(config.find("other.example", "/lohu930/0123"))
+
+    def test_no_configuration_raises(self):
+        for data in (b"{}", b"x", b"[]", encode({"version": 1, "routes": [3]})):
+            with self.assertRaises(ValueError, msg=data):
+                records.decode_configuration(data)
+
+
+class StoreTest(unittest.TestCase):
+    def page(self, *records_):
+        body = struct.pack(">QQ", 9, 0)
+        for content in records_:
+            body += struct.pack(">I", len(content)) + content
+        return body
+
+    def test_a_page_counts_offsets_over_unreadable_records(self):
+        body = self.page(b"\x03keyvalue", b"", b"\xffshort", b"\x01k")
+        page = store._decode_page(body, 4)
+        self.assertEqual(page.next_offset, 8)
+        self.assertEqual(
+            page.records,
+            [store.KeyedRecord("key", b"value"), store.KeyedRecord("k", b"")],
+        )
+
+    def test_a_cut_page_raises(self):
+        body = self.page(b"\x03keyvalue")[:-2]
+        with self.assertRaises(store.errors.PlatformError):
+            store._decode_page(body, 0)
+
+
+class ObservationTest(unittest.TestCase):
+    def test_a_look_is_decoded(self):
+        body = encode(
+            {
+                "clockMs": 482113,
+                "born": 12,
+                "running": [["5c0e7a21d94b36f8.0.1.17", 2, "x", 41, 0]],
+                "endedRuns": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+            }
+        )
+        seen = serverclient._decode_observation(body)
+        key = zonetables.TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+        self.assertEqual(seen.running[0].key, key)
+        self.assertEqual(seen.running[0].percent, 41)
+        self.assertIs(seen.ended[0].kind, zonetables.EndKind.DONE)
+        self.assertEqual(str(key), "5c0e7a21d94b36f8.0.1.17")
+
+
+class SubmissionTest(unittest.TestCase):
+    def decode(self, **changes):
+        body = {
+            "spec": "text",
+            "steps": [{"count": 4, "cpu": 500, "memMb": 1, "estimateMs": 90}],
+            "bestEffort": True,
+        } | changes
+        queue = zonetables.Queue("q", "desk", 0, 1, 1.5, 0.1)
+        route = routes.Route(queue, "h", "/p/", 1.5)
+        return ingress.decode_submission(
+            "5c0e7a21d94b36f8", encode(body), route, 1.0
+        )
+
+    def test_a_job_is_decoded(self):
+        found = self.decode()
+        self.assertEqual(found.step.count, 4)
+        self.assertEqual(found.step.estimate_s, 0.09)
+
+    def test_malformed_jobs_are_refused(self):
+        for changes in (
+            {"spec": 3},
+            {"spec": "x" * 4001},
+            {"steps": []},
+            {"steps": [7]},
+            {"steps": [{"count": 0}]},
+            {"steps": [{"count": 10**9}]},
+            {"steps": [{"count": 1, "cpu": -5}]},
+            {"steps": [{"count": 1, "cpu": "x"}]},
+        ):
+            with self.assertRaises(ingress.MalformedError, msg=changes):
+                self.decode(**changes)
+
+    def test_forms_that_are_not_served_are_refused_whole(self):
+        step = {"count": 1, "cpu": 1}
+        for changes in (
+            {"bestEffort": False},
+            {"repeatCount": 3},
+            {"steps": [step, step | {"after": [0]}]},
+            {"steps": [step | {"gang": True}]},
+        ):
+            with self.assertRaises(ingress.UnsupportedError, msg=changes):
+                self.decode(**changes)
+
+
+if __name__ == "__main__":
+    unittest.main()
