--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -244,6 +244,8 @@
             member = self.ownership.members.get(link.peer_id)
             if member is not None and link.is_refused:
                 member.refused = True
+        if self.ownership.seeks_evidence:
+            self.reader.claim_changed()
         if self.host is not None and self.host.is_fenced:
             self.log(events.Event.ZONE_FENCED, epoch=self.ownership.epoch)
             self.ownership.fenced(now)
@@ -340,7 +342,10 @@
         self._heard_of[state.sender] = state.zone
         if state.placer_id:
             self._heard_of[state.placer_id] = state.zone
-        if state.zone != self.zone or state.sender == self.my_id:
+        if state.zone != self.zone:
+            self.ownership.connected_at = clock.now()
+            return
+        if state.sender == self.my_id:
             return
         if state.placer_id not in ("", self.my_id, state.sender):
             self.ownership.hear_of(
@@ -411,6 +416,10 @@
         self.wake()
 
     def _on_opened(self, link: peering.PeerLink) -> None:
+        for member_id in list(self.ownership.members):
+            member_address = ids.parse_incarnation(member_id).address
+            if member_address == link.address and member_id != link.peer_id:
+                self.ownership.forget(member_id)  # its process is gone
         self.log(
             events.Event.PEER_CONNECTED, peer=link.state.name, zone=link.zone
         )
--- a/acacialine/judge.py
+++ b/acacialine/judge.py
@@ -38,6 +38,14 @@
     )
 
 
+def is_expected(server: zonetables.Server, now: float) -> bool:
+    """Returns whether a backend server is usable now or very soon."""
+    if not server.present or server.draining or not server.listed:
+        return False
+    silent_since = server.silent_since
+    return silent_since is None or now - silent_since < SILENT_S
+
+
 def report_done(server: zonetables.Server, ratio: float) -> None:
     """Takes in a run that ended well; ratio is observed over expected."""
     ratio = min(max(ratio, RATIO_MIN), RATIO_MAX)
--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -36,6 +36,10 @@
     """A call that surely did not reach the peer."""
 
 
+class RefusedError(NotSentError):
+    """Nobody listens at the peer's address."""
+
+
 class CallBrokenError(errors.PeerError):
     """A call that may have reached the peer, but has no reply."""
 
@@ -111,7 +115,8 @@
         with trio.fail_after(CONNECT_TIMEOUT_S):
             stream = await trio.open_tcp_stream(*address)
     except (OSError, trio.TooSlowError) as error:
-        raise NotSentError(f"cannot connect to {address}: {error}") from error
+        kind = RefusedError if _is_refused(error) else NotSentError
+        raise kind(f"cannot connect to {address}: {error}") from error
     if identity.client_tls:
         stream = trio.SSLStream(stream, identity.client_tls)
     link = FramedStream(stream)
@@ -126,6 +131,14 @@
         raise
 
 
+def _is_refused(error: BaseException) -> bool:
+    """Returns whether a failed connection was refused, not just silent."""
+    cause = error.__cause__ or error
+    if isinstance(cause, BaseExceptionGroup):
+        return all(map(_is_refused, cause.exceptions))
+    return isinstance(cause, ConnectionRefusedError)
+
+
 async def _prove_as_client(link: FramedStream, identity: Identity) -> str:
     me = str(identity.incarnation)
     key = identity.peer_keys[0]
--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -12,8 +12,10 @@
 
 SILENT_S = 0.6  # without a heartbeat before a peer counts as dead
 HEARD_OF_S = 0.35  # two heartbeats of the one who hears the placer
+FORGOTTEN_S = 10.0  # of silence: removed for good, or cut off for long
 START_WAIT_S = 1.2  # for heartbeats of others before the first claim
-ISOLATED_WAIT_S = 2.5  # before an entry that hears nobody claims
+ISOLATED_WAIT_S = 2.5  # before an entry that reaches nobody at all claims
+FENCED_ALONE_S = 10.0  # for such an entry, once somebody has fenced it
 CLAIM_KEPT_S = 3.0  # age up to which a claim in the store counts
 FENCED_WAIT_S = 1.0  # before a fenced owner may claim again
 EPOCH_RANDOM_BITS = 18  # makes epochs of two claims in 0.1 s differ
@@ -61,8 +63,9 @@
     Attributes:
         epoch: Epoch of the own claim; 0 without one.
         is_candidate: False while this entry stops or is too slow.
-        stored_claim: Newest claim of another entry in the store, with the
-            time at which it was read.
+        stored_claim: Newest claim of another entry in the store: its epoch
+            and when it was read.
+        connected_at: When the store or an entry of another zone answered.
     """
 
     my_id: str
@@ -72,10 +75,12 @@
     epoch: int = 0
     highest_epoch: int = 0
     is_candidate: bool = True
-    stored_claim: tuple[str, float] | None = None
+    stored_claim: tuple[int, float] = (0, -1e9)
+    connected_at: float = -1e9
     _not_before: float = 0.0
     _alone_since: float | None = None
     _heard_of: tuple[int, float] = (0, -1e9)
+    _heard_epoch: int = 0
 
     @property
     def role(self) -> Role:
@@ -100,6 +105,19 @@
         member.claim = claim
         member.is_candidate = is_candidate
         self.highest_epoch = max(self.highest_epoch, claim)
+        self._heard_epoch = max(self._heard_epoch, claim)
+
+    @property
+    def seeks_evidence(self) -> bool:
+        """Whether it matters now if anybody at all can be reached."""
+        return (
+            self._alone_since is not None
+            and self.connected_at <= self._alone_since
+        )
+
+    def forget(self, member_id: str) -> None:
+        """Removes an entry that is certainly gone."""
+        self.members.pop(member_id, None)
 
     def placer(self, now: float) -> str | None:
         """Returns the entry to which jobs of this zone go."""
@@ -164,7 +182,12 @@
     def fenced(self, now: float) -> None:
         """A majority of backend servers obeys a higher epoch: steps down."""
         self.epoch = 0
-        self._not_before = now + FENCED_WAIT_S
+        wait_s = FENCED_WAIT_S
+        if now - self.connected_at > ISOLATED_WAIT_S and not any(
+            m.is_live(now) for m in self.members.values()
+        ):
+            wait_s = FENCED_ALONE_S
+        self._not_before = now + wait_s
         # The epoch that fenced is not known; later claims must pass it.
         step = EPOCH_UNITS_PER_S << EPOCH_RANDOM_BITS
         self.highest_epoch += step
@@ -176,6 +199,9 @@
             return False
         if now - self.since < START_WAIT_S:
             return False
+        for member in list(self.members.values()):
+            if now - (member.heard_at or 0.0) > FORGOTTEN_S:
+                self.forget(member.id)
         live = [m for m in self.members.values() if m.is_live(now)]
         silent = [
             m
@@ -193,15 +219,17 @@
         )
 
     def _may_claim_alone(self, now: float) -> bool:
-        """Nobody is heard: the others are dead, or this entry is cut off."""
+        """No entry of the zone is heard: they are dead, or this is cut off.
+
+        Whoever still reaches the store or another zone is not cut off, and
+        claims; if the silent placer lives after all, it is fenced. A claim
+        in the store that is newer than all that was heard is believed.
+        """
         if self._alone_since is None:
             self._alone_since = now
-        if self.stored_claim is not None:
-            member_id, read_at = self.stored_claim
-            if member_id != self.my_id and now - read_at < CLAIM_KEPT_S:
-                return False
+        epoch, read_at = self.stored_claim
+        if epoch > self._heard_epoch and now - read_at < CLAIM_KEPT_S:
+            return False
+        if self.connected_at > self._alone_since:
+            return True
         return now - self._alone_since >= ISOLATED_WAIT_S
-
-    def is_isolated(self, now: float) -> bool:
-        """Returns whether this entry hears no placer and can't be one yet."""
-        return not self.epoch and self.placer(now) is None
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -124,7 +124,7 @@
                         self.hub.identity, self.address
                     )
                 except links.NotSentError as error:
-                    self.is_refused = "refused" in str(error).lower()
+                    self.is_refused = isinstance(error, links.RefusedError)
                     self.hub.on_link_change(self)
                     await trio.sleep(delay_s)
                     delay_s = min(delay_s * 2, RECONNECT_MAX_S)
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -209,7 +209,8 @@
             return "deadline"
         end = schedule.predicted_end(self.tables, job, now)
         if end is None:
-            return "unservable"
+            # No server answers at present; another zone may have some.
+            return "" if is_spilled else "unservable"
         if end <= min(self._latest_end(job), job.deadline_at):
             return ""
         if not is_spilled and self.free_elsewhere >= step.count:
--- a/acacialine/schedule.py
+++ b/acacialine/schedule.py
@@ -57,7 +57,7 @@
     """Returns when each place for a task of this demand becomes free."""
     times = []
     for server in tables.servers.values():
-        if server.service != service or not judge.is_usable(server, now):
+        if server.service != service or not judge.is_expected(server, now):
             continue
         if label and label not in server.labels:
             continue
@@ -66,8 +66,9 @@
         places = _places(server.capacity, demand)
         ends = sorted(expected_end(run, now) for run in server.runs.values())
         idle = min(places, _places(server.free, demand))
-        times.extend([now] * idle)
-        times.extend(ends[: places - idle])
+        first = max(now, server.avoid_until)
+        times.extend([first] * idle)
+        times.extend(max(first, end) for end in ends[: places - idle])
     return times
 
 
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -106,6 +106,7 @@
             )
 
     def _regained(self) -> None:
+        self._dispatcher.ownership.connected_at = clock.now()
         if self._is_down:
             self._is_down = False
             self._regained_at = clock.now()
@@ -281,7 +282,7 @@
         ownership: ownership_lib.Ownership = dispatcher.ownership
         ownership.highest_epoch = max(ownership.highest_epoch, record.claim)
         if record.claim and key != dispatcher.my_id:
-            ownership.stored_claim = (key, now)
+            ownership.stored_claim = (record.claim, now)
 
     async def _remove_expired(self) -> None:
         if self._dispatcher.host is None:
--- a/acacialine/tests/test_ownership.py
+++ b/acacialine/tests/test_ownership.py
@@ -72,14 +72,33 @@
         owner = new()
         self.hear(owner, "b", 2.0, claim=77)
         self.decide(owner, 3.0)
-        owner.stored_claim = ("b", 5.5)
+        owner.stored_claim = (78, 5.5)
         self.assertIsNone(self.decide(owner, 6.0))
         self.assertIs(self.decide(owner, 9.0), ownership.Role.PLACER)
 
+    def test_an_entry_that_reaches_others_claims_at_once(self):
+        owner = new()
+        self.hear(owner, "b", 2.0, claim=77)
+        owner.stored_claim = (77, 2.5)  # the silent placer's own
+        self.assertIsNone(self.decide(owner, 2.65))
+        self.assertTrue(owner.seeks_evidence)
+        owner.connected_at = 2.8
+        self.assertIs(self.decide(owner, 2.81), ownership.Role.PLACER)
+
+    def test_a_fenced_entry_that_reaches_nobody_stays_away(self):
+        owner = new()
+        self.hear(owner, "b", 2.0)
+        self.decide(owner, 3.0)
+        self.assertIs(self.decide(owner, 6.0), ownership.Role.PLACER)
+        owner.fenced(6.5)
+        for now in (7.6, 9.5, 12.0):
+            self.assertIsNone(self.decide(owner, now))
+
     def test_epochs_rise_though_the_time_of_day_falls(self):
         owner = new()
         self.decide(owner, 1.3)
         first = owner.epoch
+        owner.connected_at = 1.4
         owner.fenced(1.5)
         self.assertIsNone(self.decide(owner, 1.6))
         self.decide(owner, 3.0, WALL_S - 3600)
--- a/acacialine/tests/test_placer_properties.py
+++ b/acacialine/tests/test_placer_properties.py
@@ -12,6 +12,7 @@
 import random
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -20,6 +21,7 @@
 from acacialine import placer as placer_lib
 from acacialine import zonetables
 from acacialine.tests import zonebuilders as build
+from acacialine.tools import fakeservers
 
 TICK_S = 0.01
 END_S = 6.0
@@ -155,7 +157,7 @@
     def __init__(self, seed, trouble):
         self.random = random.Random(seed)
         self.trouble = trouble
-        self.world = build.FakeWorld()
+        self.world = fakeservers.FakeWorld()
         for index, cpu in enumerate((16000, 16000, 24000)):
             self.world.add(f"i-{index}", cpu)
         self.now = 0.0
@@ -219,7 +221,7 @@
                     ),
                 )
             elif held is owner:
-                again = build.attrs.evolve(
+                again = attrs.evolve(
                     submission, handovers=submission.handovers + 1
                 )
                 self.submit(again, successor)
