No second run of a task beside one that is being stopped; late requests of a stop

A task now waits while any run of it may be going on, and the placer keeps jobs whose link was reset for 0.3 s, so that they are joined instead of stopped. Ruled out: lapsed leases and late orders (traces show stopped runs of the same owner). The property test plays resets; without the check it fails.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -58,6 +58,8 @@
         intake: Requests of callers.
         host: The placer while this entry owns its zone.
         reader: Follows the store.
+        is_refusing: Whether a stop is so far that new requests could be cut
+            off; they are refused as not run.
     """
 
     settings: dispatchsettings.Settings
@@ -65,6 +67,7 @@
     identity: links.Identity
     started: float
     is_stopping: bool = False
+    is_refusing: bool = False
     intake: intake_lib.Intake = attrs.field(init=False)
     ownership: ownership_lib.Ownership = attrs.field(init=False)
     hub: peering.Hub = attrs.field(init=False)
@@ -412,7 +415,7 @@
 
     def _on_session_closed(self, session: peering.Session) -> None:
         if self.host is not None:
-            self.host.drop_origin(session.outbox)
+            self.host.drop_origin(session.outbox, not session.is_silent)
         self.wake()
 
     def _on_opened(self, link: peering.PeerLink) -> None:
@@ -551,6 +554,8 @@
         while clock.now() - begun < grace_s - STOP_MARGIN_S:
             if not self.intake.requests:
                 break
+            if clock.now() - begun > grace_s / 2:
+                self.is_refusing = True
             await trio.sleep(TICK_S)
         await self.reader.leave()
 
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -77,11 +77,16 @@
 
 @attrs.define(eq=False)
 class Session:
-    """A link that a peer has dialled; jobs that came on it end with it."""
+    """A link that a peer has dialled; jobs that came on it end with it.
+
+    Attributes:
+        is_silent: Whether it ended because nothing came any more.
+    """
 
     peer_id: str
     outbox: Outbox
     heard_at: float
+    is_silent: bool = False
 
 
 @attrs.define(eq=False)
@@ -266,4 +271,5 @@
     while True:
         await trio.sleep(ZONE_HEARTBEAT_S)
         if clock.now() - session.heard_at > OTHER_SILENT_S:
+            session.is_silent = True
             raise _LinkEndedError("silent")
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -19,6 +19,7 @@
 STOP_ALLOWANCE_S = 0.06  # a backend server takes up to 50 ms for a stop
 STALLED_S = 0.25  # without progress beyond the expected time
 STALLED_RATIO = 2.5  # of the expected time before a run can count as stalled
+ORPHAN_S = 0.3  # for an entry whose link broke to dial again
 RETRY_AFTER_MIN_S = 1.0  # Retry-After has whole seconds
 RETRY_AFTER_MAX_S = 10.0
 HANDOVER_NUMBERS = 16  # run numbers left to each earlier owner
@@ -268,12 +269,33 @@
         self._log(events.Event.ZONE_JOB_CANCELLED, job=job.id, reason=reason)
         self._end(job, None, reason, now)
 
-    def drop_origin(self, origin, now: float) -> None:
-        """Cancels what an entry waits for that can't be reached any more."""
+    def drop_origin(self, origin, may_return: bool, now: float) -> None:
+        """Forgets an entry that can't be reached any more.
+
+        Args:
+            origin: The entry.
+            may_return: Whether only its link broke; its jobs then go on for
+                a moment, because it hands them over again.
+            now: The time.
+        """
         for job in list(self.tables.jobs.values()):
-            if origin in job.origins:
+            if origin not in job.origins:
+                continue
+            if may_return and job.origins == {origin}:
+                job.origins.clear()
+                job.orphaned_at = now
+            else:
                 self.cancel(job.id, origin, "entry lost", now)
 
+    def _end_orphans(self, now: float) -> None:
+        for job in list(self.tables.jobs.values()):
+            if job.origins or now - job.orphaned_at < ORPHAN_S:
+                continue
+            self._log(
+                events.Event.ZONE_JOB_CANCELLED, job=job.id, reason="entry lost"
+            )
+            self._end(job, None, "entry lost", now)
+
     def _end(
         self,
         job: zonetables.Job,
@@ -328,6 +350,7 @@
     def tick(self, now: float) -> None:
         """Ends what is over time, then starts what fits, best first."""
         self._resolve_runs(now)
+        self._end_orphans(now)
         self._give_up(now)
         self._start_tasks(now)
         self._forget(now)
@@ -360,12 +383,13 @@
         ]
         for job in schedule.in_order(waiting, now):
             started = []
-            for _ in range(len(job.waiting)):
-                index = job.waiting[0]
+            for index in list(job.waiting):
+                if job.key(index) in self.tables.live_runs:
+                    continue  # an earlier run of it has not certainly ended
                 server = self._choose_server(job, index, usable, now)
                 if server is None:
                     break
-                job.waiting.popleft()
+                job.waiting.remove(index)
                 started.append((index, self._start(job, index, server, now)))
             if started:
                 self._log_started(job, started, now)
@@ -436,7 +460,7 @@
             now,
             expected_s,
         )
-        server.add(run)
+        self.tables.add_run(run)
         job.runs[index] = run
         job.possible_starts += 1
         if job.first_start_at is None:
@@ -534,7 +558,7 @@
             server=server.id,
             outcome=outcome.value,
         )
-        server.remove(run, now)
+        self.tables.remove_run(run, now)
         if job is None:
             return
         job.possible_starts -= 1
@@ -710,7 +734,7 @@
             percent=row.percent,
             progress_at=now,
         )
-        server.add(run)
+        self.tables.add_run(run)
         # Its lease is not known: an earlier owner or a late order gave it.
         server.lease_until = max(server.lease_until, now + LAPSE_S)
         job = self.tables.jobs.get(row.key.job_id)
@@ -722,7 +746,7 @@
     ) -> None:
         """Gives back the room of a run and decides about its task."""
         server = run.server
-        server.remove(run, now)
+        self.tables.remove_run(run, now)
         self.tables.counters[f"ended.{kind.value}"] += 1
         job = run.job
         if job is None:
@@ -849,7 +873,7 @@
         server.listed = False
         for run in list(server.runs.values()):
             job = run.job
-            server.remove(run, now)
+            self.tables.remove_run(run, now)
             run.job = None
             if job is not None:
                 # The other owner stops or adopts what runs there.
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -71,9 +71,9 @@
         self.placer.cancel(job_id, origin, reason, clock.now())
         self._dispatcher.wake()
 
-    def drop_origin(self, origin) -> None:
-        """Cancels all that an entry waits for."""
-        self.placer.drop_origin(origin, clock.now())
+    def drop_origin(self, origin, may_return: bool) -> None:
+        """Forgets an entry whose link is over."""
+        self.placer.drop_origin(origin, may_return, clock.now())
 
     def pending(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun."""
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -17,6 +17,7 @@
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 SPEC_MAX_BYTES = 4000  # the platform's bound of a job's spec
+UNSUPPORTED_RETRY_AFTER_S = 60  # only a new release changes the answer
 DEFAULT_DEADLINE_S = 60.0  # for callers and routes that name none
 TASKS_MAX = 10000  # per step; far above the widest job of 1,600 tasks
 _UNSUPPORTED = (
@@ -160,21 +161,28 @@
             await self._reject(send, job_id, 400, error)
             return
         except UnsupportedError as error:
-            await self._reject(send, job_id, 503, error)
+            await self._reject(
+                send, job_id, 503, error, UNSUPPORTED_RETRY_AFTER_S
+            )
+            return
+        if self._dispatcher.is_refusing:
+            await self._reject(send, job_id, 503, "stopping", 1)
             return
         received_at = self._dispatcher.now()
         answer = await self._wait(submission, receive)
         if answer is not None:
             await self._answer(send, submission, answer, received_at)
 
-    async def _reject(self, send, job_id, status, error) -> None:
+    async def _reject(
+        self, send, job_id, status, error, retry_after_s=0
+    ) -> None:
         self._dispatcher.log(
             events.Event.REQUEST_REJECTED,
             job=job_id,
             status=status,
             reason=str(error),
         )
-        await self._reply(send, status, b"", 60 if status == 503 else 0)
+        await self._reply(send, status, b"", retry_after_s)
 
     async def _wait(self, submission, receive) -> intake.Answer | None:
         """Returns the answer; None if the caller left before it."""
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -130,15 +130,50 @@
         placer = build.placer()
         runs = build.starts(self.submit(placer))
         self.confirm(placer, runs)
-        placer.drop_origin("entry", 0.1)
+        placer.drop_origin("entry", False, 0.1)
         self.assertEqual(build.stops(placer.take_orders()), runs)
         self.assertEqual(runs[0].server.used.cpu, 14000)
 
+    def test_a_job_whose_link_broke_goes_on_when_it_comes_again(self):
+        # Ticketworks cut-and-shut, baekdu hunt: after a reset of the link
+        # the job came again, and its tasks started beside runs that were
+        # being stopped.
+        placer = build.placer()
+        runs = build.starts(self.submit(placer))
+        self.confirm(placer, runs)
+        placer.drop_origin("entry", True, 0.1)
+        self.assertEqual(build.stops(placer.take_orders()), [])
+        found = self.submit(placer, 0.12, handovers=1)
+        self.assertEqual(build.starts(found) + build.stops(found), [])
+        job = placer.tables.jobs["00000000000000aa"]
+        self.assertEqual(job.origins, {"entry"})
+
+    def test_a_job_whose_entry_stays_away_ends(self):
+        placer = build.placer()
+        runs = build.starts(self.submit(placer))
+        self.confirm(placer, runs)
+        placer.drop_origin("entry", True, 0.1)
+        placer.tick(0.45)
+        self.assertEqual(set(build.stops(placer.take_orders())), set(runs))
+        self.assertEqual(placer.tables.jobs, {})
+
+    def test_a_task_waits_for_the_end_of_its_earlier_run(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        runs = build.starts(self.submit(placer))
+        self.confirm(placer, runs)
+        placer.drop_origin("entry", False, 0.1)
+        again = self.submit(placer, 0.11, handovers=1)
+        self.assertEqual(build.starts(again), [])
+        for run in runs:
+            placer.stop_result(run, True, 0.12)
+        started = self.look(placer, runs[0].server, 0.3, sent_at=0.25)
+        self.assertEqual(len(build.starts(started)), 2)
+
     def test_a_cancelled_job_that_comes_again_uses_higher_numbers(self):
         placer = build.placer()
         runs = build.starts(self.submit(placer))
         self.confirm(placer, runs)
-        placer.drop_origin("entry", 0.1)
+        placer.drop_origin("entry", False, 0.1)
         for run in runs:
             placer.stop_result(run, True, 0.11)
         self.look(placer, runs[0].server, 0.3, sent_at=0.25)
--- a/acacialine/tests/test_placer_properties.py
+++ b/acacialine/tests/test_placer_properties.py
@@ -231,6 +231,15 @@
         owner, _ = self.open.pop(job_id)
         owner.placer.cancel(job_id, "entry", "caller left", self.now)
 
+    def reset_link(self):
+        """The link of the entry breaks and its open jobs come again."""
+        owner = self.owners[-1]
+        # What the placer said before the break is not said afterwards.
+        owner.tick(self.now)
+        may_return = self.random.random() < 0.5
+        owner.placer.drop_origin("entry", may_return, self.now)
+        self.hand_over(owner, owner)
+
     def take_over(self):
         old = self.owners[-1]
         new = Owner(self, old.epoch + 1, self.now)
@@ -273,6 +282,8 @@
                 self.leave(self.random.choice(list(self.open)))
             if self.random.random() < 0.003:
                 self.take_over()
+            if self.random.random() < 0.005:
+                self.reset_link()
             for owner in list(self.owners):
                 owner.tick(self.now)
             until = self.now + TICK_S
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -181,17 +181,6 @@
         """What no run occupies."""
         return self.capacity - self.used
 
-    def add(self, run: Run) -> None:
-        """Counts a run against the capacity."""
-        self.runs[run.id] = run
-        self.used = self.used + run.demand
-
-    def remove(self, run: Run, now: float) -> None:
-        """Gives back the room of a run that has certainly ended."""
-        if self.runs.pop(run.id, None) is not None:
-            self.used = self.used - run.demand
-            self.gone[run.id] = now
-
 
 @attrs.define(eq=False)
 class Job:
@@ -206,6 +195,7 @@
         hold_until: No task starts before this time, because an earlier owner
             may still run it.
         waiting: Indices of tasks that are to be started.
+        orphaned_at: When its last origin was lost.
         possible_starts: Orders that may have started a task; a job with one
             can't be refused as not run any more.
     """
@@ -228,6 +218,7 @@
     avoid: dict[int, str] = attrs.field(factory=dict)
     possible_starts: int = 0
     first_start_at: float | None = None
+    orphaned_at: float = 0.0
 
     def key(self, index: int) -> TaskKey:
         """Returns the key of one of its tasks."""
@@ -259,7 +250,11 @@
 
 @attrs.define(eq=False)
 class ZoneTables:
-    """All that the placer of one availability zone knows."""
+    """All that the placer of one availability zone knows.
+
+    Attributes:
+        live_runs: How many runs of each task may be going on.
+    """
 
     zone: str
     servers: dict[str, Server] = attrs.field(factory=dict)
@@ -268,3 +263,22 @@
     ended_unclaimed: dict[TaskKey, float] = attrs.field(factory=dict)
     estimate_ratio: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter = attrs.field(factory=collections.Counter)
+    live_runs: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def add_run(self, run: Run) -> None:
+        """Counts a run against the capacity of its server."""
+        server = run.server
+        server.runs[run.id] = run
+        server.used = server.used + run.demand
+        self.live_runs[run.key] += 1
+
+    def remove_run(self, run: Run, now: float) -> None:
+        """Gives back the room of a run that has certainly ended."""
+        server = run.server
+        if server.runs.pop(run.id, None) is None:
+            return
+        server.used = server.used - run.demand
+        server.gone[run.id] = now
+        self.live_runs[run.key] -= 1
+        if not self.live_runs[run.key]:
+            del self.live_runs[run.key]
