Less lateness accepted the fuller the queue; slowness and estimates don't drift

Steps are now bounded and the usual slowness is kept at 1. The tolerance now falls with the waiting tasks per place. Cause 3: runs counted as stalled between two looks; only a look can tell now.

--- a/acacialine/dispatchsettings.py
+++ b/acacialine/dispatchsettings.py
@@ -86,10 +86,17 @@
         ),
         ini.Option(
             "late_share",
-            ini.number(0, 10),
-            "0.3",
+            ini.number(-0.9, 10),
+            "0.6",
             "Share of its objective by which a job may be predicted late"
-            " and still be accepted.",
+            " and still be accepted while nothing waits; less the more waits.",
+        ),
+        ini.Option(
+            "kept_share",
+            ini.number(0, 0.9),
+            "0",
+            "Share of a zone's room that stays free for jobs of a more"
+            " urgent queue while such jobs come.",
         ),
     ),
     "stop": (
@@ -134,6 +141,7 @@
     lease_ms: int
     look_wait_ms: int
     late_share: float
+    kept_share: float
 
 
 @attrs.frozen
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -27,8 +27,11 @@
 # A job that is running at its deadline goes on for its caller's next try,
 # which comes 1.3 s after the 504 and joins it.
 RESUMED_S = 2.0
-ESTIMATE_SMOOTHING = 0.05
 ESTIMATE_MIN_S = 0.005
+# Accepted lateness with as many tasks waiting as there are places: less than
+# none, since more urgent jobs will still come and go first.
+FULL_LATE_SHARE = -0.25
+SLOWNESS_STEP = 0.2  # servers within one step count as equally fast
 
 
 @attrs.frozen
@@ -61,6 +64,7 @@
         late_share: Share of its objective by which a job may be predicted
             late and still be accepted.
         owned_since: When it became the owner.
+        usual_places: Places of the zone for tasks of the usual size.
         free_elsewhere: Most free places that another zone reports.
     """
 
@@ -68,6 +72,7 @@
     late_share: float
     owned_since: float
     free_elsewhere: int = 0
+    usual_places: int = 1
     _orders: list[orders_lib.Order] = attrs.field(factory=list)
 
     def take_orders(self) -> list[orders_lib.Order]:
@@ -97,6 +102,7 @@
                 )
             )
             return
+        tables.priority_seen[submission.queue.priority] = now
         job = self._new_job(submission, origin, recent, now)
         if submission.handovers:
             self._adopt(job)
@@ -208,6 +214,11 @@
             return ""  # right after a takeover; room is not known yet
         if job.deadline_at - now < job.estimate_s:
             return "deadline"
+        self.usual_places = len(
+            schedule.slot_times(
+                self.tables, job.queue.service, step.demand, step.label, now
+            )
+        )
         end = schedule.predicted_end(self.tables, job, now)
         if end is None:
             # No server answers at present; another zone may have some.
@@ -220,19 +231,34 @@
 
     def _has_place(self, job: zonetables.Job, now: float) -> bool:
         """Returns whether a task could start now, ahead of none waiting."""
+        free = self._free_places(job, now)
+        free -= schedule.kept_places(self.tables, job, now)
+        return free > self._waiting_tasks()
+
+    def _free_places(self, job: zonetables.Job, now: float) -> int:
+        step = job.step
         times = schedule.slot_times(
-            self.tables, job.queue.service, job.step.demand, "", now
+            self.tables, job.queue.service, step.demand, step.label, now
         )
-        idle = sum(1 for at in times if at <= now)
-        waiting = sum(len(j.waiting) for j in self.tables.jobs.values())
-        return idle > waiting
+        return sum(1 for at in times if at <= now)
+
+    def _waiting_tasks(self) -> int:
+        return sum(len(j.waiting) for j in self.tables.jobs.values())
 
     def _latest_end(self, job: zonetables.Job) -> float:
+        """Returns until when an end is still worth the room it takes.
+
+        The fuller the queue, the less lateness is accepted, because a late
+        job then makes others late.
+        """
         objective_s = job.objective_at - job.arrived_at
-        return job.objective_at + self.late_share * objective_s
+        fullness = min(1.0, self._waiting_tasks() / max(1, self.usual_places))
+        share = self.late_share + fullness * (FULL_LATE_SHARE - self.late_share)
+        return job.objective_at + share * objective_s
 
     def _refuse(self, job: zonetables.Job, reason: str, now: float) -> None:
         retry_after_s = self._retry_after_s(job, now)
+        end = schedule.predicted_end(self.tables, job, now)
         self._log(
             events.Event.ZONE_JOB_REFUSED,
             job=job.id,
@@ -240,6 +266,11 @@
             reason=reason,
             tasks=job.step.count,
             waiting_jobs=self._waiting_jobs(),
+            free_places=self._free_places(job, now),
+            waiting_tasks=self._waiting_tasks(),
+            free_elsewhere=self.free_elsewhere,
+            predicted_ms=_ms(end - job.arrived_at) if end else "none",
+            objective_ms=_ms(job.objective_at - job.arrived_at),
             waited_ms=_ms(now - job.arrived_at),
             retry_after_s=retry_after_s,
         )
@@ -383,7 +414,8 @@
         ]
         for job in schedule.in_order(waiting, now):
             started = []
-            for index in list(job.waiting):
+            room = self._room_for(job, usable, now)
+            for index in list(job.waiting)[:room]:
                 if job.key(index) in self.tables.live_runs:
                     continue  # an earlier run of it has not certainly ended
                 server = self._choose_server(job, index, usable, now)
@@ -394,6 +426,23 @@
             if started:
                 self._log_started(job, started, now)
 
+    def _room_for(
+        self,
+        job: zonetables.Job,
+        usable: list[zonetables.Server],
+        now: float,
+    ) -> int:
+        """Returns how many tasks of a job may start beside kept places."""
+        kept = schedule.kept_places(self.tables, job, now)
+        if not kept:
+            return len(job.waiting)
+        idle = sum(
+            schedule.places(s.free, job.step.demand)
+            for s in usable
+            if s.service == job.queue.service
+        )
+        return max(0, idle - kept)
+
     def _log_started(
         self,
         job: zonetables.Job,
@@ -434,7 +483,7 @@
                 continue
             if step.label and step.label not in server.labels:
                 continue
-            slow = round(judge.slowness(server, now), 1)
+            slow = round(judge.slowness(server, now) / SLOWNESS_STEP)
             key = (server.id == avoided, slow, server.free.cpu)
             if best_key is None or key < best_key:
                 best, best_key = server, key
@@ -609,7 +658,8 @@
             return False
         if now - run.confirmed_at < run.expected_s * STALLED_RATIO:
             return False
-        return now - run.progress_at > max(STALLED_S, run.expected_s)
+        # Only a look can tell that nothing was done since the one before.
+        return run.seen_at - run.progress_at > max(STALLED_S, run.expected_s)
 
     def _restart_stalled(self, run: zonetables.Run, now: float) -> None:
         """Stops a run that stands still; its task then starts elsewhere."""
@@ -651,6 +701,7 @@
                 continue
             if run.confirmed_at is None:
                 run.confirmed_at = now
+            run.seen_at = now
             if row.percent > run.percent or not run.progress_at:
                 run.progress_at = now
                 run.percent = row.percent
@@ -779,9 +830,14 @@
         now: float,
     ) -> None:
         if run.confirmed_at is not None and job.estimate_s > 0:
-            took_s = now - run.sent_at
-            judge.report_done(run.server, took_s / job.estimate_s)
-            self._learn(job, took_s / run.server.slowness)
+            judge.report_done(
+                self.tables,
+                run.server,
+                job.queue.name,
+                now - run.sent_at,
+                job.step.estimate_s,
+                now,
+            )
         job.done.add(index)
         if len(job.done) < job.step.count:
             return
@@ -797,17 +853,6 @@
         self.tables.counters["completed"] += 1
         self._end(job, zonetables.Verdict.COMPLETED, "done", now)
 
-    def _learn(self, job: zonetables.Job, took_s: float) -> None:
-        """Learns how far the declared durations of a queue are off."""
-        if job.step.estimate_s <= 0:
-            return
-        name = job.queue.name
-        known = self.tables.estimate_ratio.get(name, 1.0)
-        ratio = min(max(took_s / job.step.estimate_s, 0.2), 5.0)
-        self.tables.estimate_ratio[name] = known + ESTIMATE_SMOOTHING * (
-            ratio - known
-        )
-
     def _task_failed(
         self,
         run: zonetables.Run,
@@ -920,6 +965,9 @@
     return round(seconds * 1000)
 
 
-def new_placer(zone: str, late_share: float, now: float) -> Placer:
+def new_placer(
+    zone: str, late_share: float, now: float, kept_share: float = 0.0
+) -> Placer:
     """Creates the placer of a zone that begins to own its servers."""
-    return Placer(zonetables.ZoneTables(zone), late_share, now)
+    tables = zonetables.ZoneTables(zone, kept_share=kept_share)
+    return Placer(tables, late_share, now)
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -287,8 +287,10 @@
 
 def new_host(dispatcher, epoch: int, nursery: trio.Nursery, now: float):
     """Creates the host of a new owner of the dispatcher's zone."""
-    late_share = dispatcher.settings.placement.late_share
-    placer = placer_lib.new_placer(dispatcher.zone, late_share, now)
+    settings = dispatcher.settings.placement
+    placer = placer_lib.new_placer(
+        dispatcher.zone, settings.late_share, now, settings.kept_share
+    )
     return PlacerHost(placer, epoch, dispatcher=dispatcher, nursery=nursery)
 
 
--- a/acacialine/schedule.py
+++ b/acacialine/schedule.py
@@ -12,6 +12,7 @@
 from acacialine import resources as resources_lib
 from acacialine import zonetables
 
+URGENT_SEEN_S = 3.0  # after the last urgent job, no place is kept for them
 OVERDUE_SHARE = 0.5  # of its expectation that an overdue run still takes
 
 
@@ -63,18 +64,19 @@
             continue
         if not demand.fits(server.capacity):
             continue
-        places = _places(server.capacity, demand)
+        count = places(server.capacity, demand)
         ends = sorted(expected_end(run, now) for run in server.runs.values())
-        idle = min(places, _places(server.free, demand))
+        idle = min(count, places(server.free, demand))
         first = max(now, server.avoid_until)
         times.extend([first] * idle)
-        times.extend(max(first, end) for end in ends[: places - idle])
+        times.extend(max(first, end) for end in ends[: count - idle])
     return times
 
 
-def _places(
+def places(
     room: resources_lib.Resources, demand: resources_lib.Resources
 ) -> int:
+    """Returns how many tasks of a demand fit into some room."""
     counts = [
         have // need
         for have, need in (
@@ -87,6 +89,32 @@
     return max(0, min(counts, default=1))
 
 
+def kept_places(
+    tables: zonetables.ZoneTables, job: zonetables.Job, now: float
+) -> int:
+    """Returns how many free places a job has to leave to more urgent ones.
+
+    Wide jobs of short tasks with little slack find no room at a crest, where
+    longer work takes each place as it becomes free. So some stay free while
+    jobs of a more urgent queue come.
+    """
+    if tables.kept_share <= 0:
+        return 0
+    priority = job.queue.priority
+    urgent = any(
+        seen < priority and now - at < URGENT_SEEN_S
+        for seen, at in tables.priority_seen.items()
+    )
+    if not urgent:
+        return 0
+    capacity = sum(
+        places(s.capacity, job.step.demand)
+        for s in tables.servers.values()
+        if s.service == job.queue.service and judge.is_usable(s, now)
+    )
+    return round(tables.kept_share * capacity)
+
+
 def predicted_end(
     tables: zonetables.ZoneTables,
     job: zonetables.Job,
@@ -100,6 +128,9 @@
     heap = slot_times(
         tables, job.queue.service, job.step.demand, job.step.label, now
     )
+    kept = kept_places(tables, job, now)
+    if kept:
+        heap = sorted(heap)[min(kept, len(heap) - 1) :]
     if not heap:
         return None
     heapq.heapify(heap)
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -107,7 +107,8 @@
         stop_confirmed_at: When the backend server confirmed the stop.
         stop_sent_at: When the last stop was sent.
         percent: Progress that the backend server reported last.
-        progress_at: When the percentage last rose.
+        progress_at: When the percentage was last seen to rise.
+        seen_at: When a look last listed it.
         expected_s: Expected duration on this backend server.
     """
 
@@ -125,6 +126,7 @@
     stop_sent_at: float | None = None
     percent: int = 0
     progress_at: float = 0.0
+    seen_at: float = 0.0
 
     @property
     def id(self) -> tuple[TaskKey, int]:
@@ -254,6 +256,9 @@
 
     Attributes:
         live_runs: How many runs of each task may be going on.
+        centred_at: When the slowness of servers was last centred.
+        kept_share: Share of the places kept for more urgent jobs.
+        priority_seen: When a job of each priority last came.
     """
 
     zone: str
@@ -263,6 +268,9 @@
     ended_unclaimed: dict[TaskKey, float] = attrs.field(factory=dict)
     estimate_ratio: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter = attrs.field(factory=collections.Counter)
+    kept_share: float = 0.0
+    centred_at: float = 0.0
+    priority_seen: dict[int, float] = attrs.field(factory=dict)
     live_runs: collections.Counter = attrs.field(factory=collections.Counter)
 
     def add_run(self, run: Run) -> None:
