Placer split: admission, runs, jobs; daemon apart; kept places reverted

Runs and their certain end are zoneruns, accepting is zoneadmission, signals and the settings file are daemon.

--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -52,6 +52,7 @@
 
     import trio
 
+    from acacialine import daemon as daemon_lib
     from acacialine import dispatcher as dispatcher_lib
     from acacialine import dispatchsettings
 
@@ -59,7 +60,7 @@
     daemon = dispatcher_lib.new_dispatcher(
         dispatchsettings.read_settings(text, path)
     )
-    trio.run(dispatcher_lib.run_until_signal, daemon, path)
+    trio.run(daemon_lib.run_until_signal, daemon, path)
 
 
 @cli.command()
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -5,10 +5,7 @@
 """
 
 import functools
-import os
-import pathlib
 import random
-import signal
 import time
 
 import attrs
@@ -44,7 +41,6 @@
 LAG_SMOOTHING = 0.4
 LAG_LIMIT_S = 0.05  # average lateness; an idle loop is under 2 ms late
 SLOW_S = 5.0  # for which a late loop leaves the zone to others
-SETTINGS_POLL_S = 1.0  # the file may change without a signal
 OTHER_ZONE_LINKS = 2  # to a zone whose placer is not known
 STOP_READY_S = 2.2  # the balancer needs two misses a second apart
 STOP_MARGIN_S = 0.7  # before the process would be killed
@@ -232,7 +228,7 @@
         for order in self.intake.take_orders():
             self._execute(order)
         if self.host is not None:
-            self.host.placer.free_elsewhere = max(
+            self.host.placer.admission.free_elsewhere = max(
                 (
                     t.free_tasks
                     for zone, t in self.intake.targets.items()
@@ -570,45 +566,3 @@
         links.Identity(me, entry.peer_keys),
         time.time(),
     )
-
-
-async def run_until_signal(dispatcher: Dispatcher, path: str) -> None:
-    """Runs a dispatcher until SIGTERM or SIGINT asks for a planned stop."""
-    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*wanted) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_follow_signals, signals, dispatcher, path)
-            nursery.start_soon(_follow_file, dispatcher, path)
-            await dispatcher.run()
-            nursery.cancel_scope.cancel()
-
-
-async def _follow_signals(signals, dispatcher: Dispatcher, path: str) -> None:
-    async for number in signals:
-        if number == signal.SIGHUP:
-            _reload(dispatcher, path)
-        else:
-            dispatcher.stop()
-
-
-async def _follow_file(dispatcher: Dispatcher, path: str) -> None:
-    """Reads the settings file again when it has changed."""
-    read_at = None
-    while True:
-        try:
-            changed_at = os.stat(path).st_mtime_ns
-        except OSError:
-            changed_at = read_at  # being replaced; the next look finds it
-        if read_at is not None and changed_at != read_at:
-            _reload(dispatcher, path)
-        read_at = changed_at
-        await trio.sleep(SETTINGS_POLL_S)
-
-
-def _reload(dispatcher: Dispatcher, path: str) -> None:
-    try:
-        text = pathlib.Path(path).read_text()
-    except OSError as error:
-        dispatcher.log(events.Event.SETTINGS_REJECTED, findings=str(error))
-        return
-    dispatcher.reload(text, path)
--- a/acacialine/dispatchsettings.py
+++ b/acacialine/dispatchsettings.py
@@ -91,13 +91,6 @@
             "Share of its objective by which a job may be predicted late"
             " and still be accepted while nothing waits; less the more waits.",
         ),
-        ini.Option(
-            "kept_share",
-            ini.number(0, 0.9),
-            "0",
-            "Share of a zone's room that stays free for jobs of a more"
-            " urgent queue while such jobs come.",
-        ),
     ),
     "stop": (
         ini.Option(
@@ -141,7 +134,6 @@
     lease_ms: int
     look_wait_ms: int
     late_share: float
-    kept_share: float
 
 
 @attrs.frozen
--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -13,6 +13,7 @@
 
 from acacialine import events
 from acacialine import placer as placer_lib
+from acacialine import zoneruns
 from acacialine import zonetables
 
 DEADLINE_MARGIN_S = 0.04  # for the answer to reach its caller in time
@@ -228,8 +229,7 @@
     def _hand_over(self, request: Request, now: float) -> None:
         own = self.targets.get(self.zone)
         lapsed = (
-            request.lost_at is None
-            or now - request.lost_at > placer_lib.LAPSE_S
+            request.lost_at is None or now - request.lost_at > zoneruns.LAPSE_S
         )
         if lapsed:
             if own is not None:
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -133,7 +133,7 @@
     def apply_servers(self, now: float) -> None:
         """Takes in the servers of this zone that the store names."""
         found = self._dispatcher.reader.servers_of(self._dispatcher.zone)
-        self.placer.apply_servers(found, now)
+        self.placer.runs.apply_servers(found, now)
         servers = self.placer.tables.servers
         for server_id, server in servers.items():
             task = self._tasks.get(server_id)
@@ -198,7 +198,7 @@
             return
         if outcome == orders_lib.StartOutcome.FENCED:
             self._fenced(run.server)
-        self.placer.start_result(run, outcome, clock.now())
+        self.placer.runs.start_result(run, outcome, clock.now())
         if task is not None:
             task.wake.set()
         self._dispatcher.wake()
@@ -209,7 +209,7 @@
             return
         confirmed = await task.client.stop(run)
         if not self._closed:
-            self.placer.stop_result(run, confirmed, clock.now())
+            self.placer.runs.stop_result(run, confirmed, clock.now())
             task.wake.set()
             self._dispatcher.wake()
 
@@ -259,11 +259,11 @@
                 server=server.id,
                 reason=str(error),
             )
-        self.placer.server_silent(server, clock.now())
+        self.placer.runs.server_silent(server, clock.now())
 
     def _fenced(self, server: zonetables.Server) -> None:
         self.is_fenced = True
-        self.placer.lost_ownership(server, clock.now())
+        self.placer.runs.lost_ownership(server, clock.now())
         self._dispatcher.wake()
 
     def _observe(
@@ -273,7 +273,7 @@
         asked_at: float,
     ) -> None:
         if not self._closed:
-            self.placer.observe(client.server, seen, asked_at, clock.now())
+            self.placer.runs.observe(client.server, seen, asked_at, clock.now())
             self._dispatcher.wake()
 
     def close(self) -> None:
@@ -289,12 +289,10 @@
 def new_host(dispatcher, epoch: int, nursery: trio.Nursery, now: float):
     """Creates the host of a new owner of the dispatcher's zone."""
     settings = dispatcher.settings.placement
-    placer = placer_lib.new_placer(
-        dispatcher.zone, settings.late_share, now, settings.kept_share
-    )
+    placer = placer_lib.new_placer(dispatcher.zone, settings.late_share, now)
     # Runs of an earlier owner lapse a second after it loses a server.
     removed_s = now - dispatcher.reader.removed_at
-    placer.is_list_certain = removed_s > REMOVED_S
+    placer.runs.is_list_certain = removed_s > REMOVED_S
     return PlacerHost(placer, epoch, dispatcher=dispatcher, nursery=nursery)
 
 
--- a/acacialine/schedule.py
+++ b/acacialine/schedule.py
@@ -12,7 +12,6 @@
 from acacialine import resources as resources_lib
 from acacialine import zonetables
 
-URGENT_SEEN_S = 3.0  # after the last urgent job, no place is kept for them
 OVERDUE_SHARE = 0.5  # of its expectation that an overdue run still takes
 
 
@@ -89,32 +88,6 @@
     return max(0, min(counts, default=1))
 
 
-def kept_places(
-    tables: zonetables.ZoneTables, job: zonetables.Job, now: float
-) -> int:
-    """Returns how many free places a job has to leave to more urgent ones.
-
-    Wide jobs of short tasks with little slack find no room at a crest, where
-    longer work takes each place as it becomes free. So some stay free while
-    jobs of a more urgent queue come.
-    """
-    if tables.kept_share <= 0:
-        return 0
-    priority = job.queue.priority
-    urgent = any(
-        seen < priority and now - at < URGENT_SEEN_S
-        for seen, at in tables.priority_seen.items()
-    )
-    if not urgent:
-        return 0
-    capacity = sum(
-        places(s.capacity, job.step.demand)
-        for s in tables.servers.values()
-        if s.service == job.queue.service and judge.is_usable(s, now)
-    )
-    return round(tables.kept_share * capacity)
-
-
 def predicted_end(
     tables: zonetables.ZoneTables,
     job: zonetables.Job,
@@ -128,9 +101,6 @@
     heap = slot_times(
         tables, job.queue.service, job.step.demand, job.step.label, now
     )
-    kept = kept_places(tables, job, now)
-    if kept:
-        heap = sorted(heap)[min(kept, len(heap) - 1) :]
     if not heap:
         return None
     heapq.heapify(heap)
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -257,8 +257,6 @@
     Attributes:
         live_runs: How many runs of each task may be going on.
         centred_at: When the slowness of servers was last centred.
-        kept_share: Share of the places kept for more urgent jobs.
-        priority_seen: When a job of each priority last came.
     """
 
     zone: str
@@ -268,9 +266,7 @@
     ended_unclaimed: dict[TaskKey, float] = attrs.field(factory=dict)
     estimate_ratio: dict[str, float] = attrs.field(factory=dict)
     counters: collections.Counter = attrs.field(factory=collections.Counter)
-    kept_share: float = 0.0
     centred_at: float = 0.0
-    priority_seen: dict[int, float] = attrs.field(factory=dict)
     live_runs: collections.Counter = attrs.field(factory=collections.Counter)
 
     def add_run(self, run: Run) -> None:
@@ -290,3 +286,8 @@
         self.live_runs[run.key] -= 1
         if not self.live_runs[run.key]:
             del self.live_runs[run.key]
+
+
+def milliseconds(seconds: float) -> int:
+    """Returns a duration in whole ms, as log lines show it."""
+    return round(seconds * 1000)
