A start whose job has ended is not sent

Such a start is not sent now. Ruled out: a foreign job (the id had been submitted). The test failed first.

--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -83,14 +83,15 @@
         """Orders a run; never a second time."""
         decided_at = run.sent_at
         now = clock.now()
-        if now - decided_at > START_FRESH_S:
+        if now - decided_at > START_FRESH_S or run.job is None:
+            # Too old, or its job has ended since the decision.
             return orders.StartOutcome.NOT_STARTED
         lease = leases.new_lease(self.server, self.lease_s, now)
         run.not_after = max(run.not_after, lease.until)
         body = {
             "task": str(run.key),
             "run": run.number,
-            "spec": run.job.spec if run.job else "",
+            "spec": run.job.spec,
             "deadlineMs": lease.deadline_ms,
             "fencingToken": self.epoch,
         }
--- a/acacialine/tests/test_platform.py
+++ b/acacialine/tests/test_platform.py
@@ -4,13 +4,17 @@
 import unittest
 
 import msgspec
+import trio
 
+from acacialine import clock
+from acacialine import orders
 from acacialine import routes
 from acacialine import zonetables
 from acacialine.platform import ingress
 from acacialine.platform import records
 from acacialine.platform import serverclient
 from acacialine.platform import store
+from acacialine.tests import zonebuilders as build
 
 SERVER = {
     "service": "desk",
@@ -137,6 +141,20 @@
         self.assertEqual(str(key), "5c0e7a21d94b36f8.0.1.17")
 
 
+class ServerClientTest(unittest.TestCase):
+    def test_a_start_whose_job_has_ended_is_not_sent(self):
+        # Ticketworks owners-die, seed 209007584477: it went out without the
+        # job's spec.
+        placer = build.placer()
+        placer.submit(build.submission(), "entry", clock.now())
+        placer.tick(clock.now())
+        run, _ = build.starts(placer.take_orders())
+        placer.cancel(run.key.job_id, "entry", "caller left", clock.now())
+        client = serverclient.ServerClient(run.server, 1, 1.0, self.fail)
+        outcome = trio.run(client.start, run)
+        self.assertIs(outcome, orders.StartOutcome.NOT_STARTED)
+
+
 class SubmissionTest(unittest.TestCase):
     def decode(self, **changes):
         body = {
