--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -3,8 +3,6 @@
 import attrs
 import msgspec
 
-TOPIC = "keyed.entries"
-
 
 @attrs.frozen
 class EntryRecord:
--- a/acacialine/platform/store.py
+++ b/acacialine/platform/store.py
@@ -12,6 +12,11 @@
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 READ_MAX_KB = 1024
+# The platform writes the first two; the third is the product's own.
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+SERVERS_TOPIC = "keyed.servers"
+ENTRIES_TOPIC = "keyed.entries"
 _HEADER = struct.Struct(">QQ")  # end offset, first retained offset
 _LENGTH = struct.Struct(">I")
 
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -18,9 +18,6 @@
 from acacialine.platform import records
 from acacialine.platform import store as store_lib
 
-CONFIGURATION_TOPIC = "keyed.op"
-CONFIGURATION_KEY = "config"
-SERVERS_TOPIC = "keyed.servers"
 RETRY_S = 0.2
 RETRY_MAX_S = 1.0
 FOLLOWER_POLL_FACTOR = 4  # entries that are no placer read servers less often
@@ -116,13 +113,13 @@
 
     async def _read_configuration(self) -> None:
         wait_s = self._dispatcher.settings.store.configuration_wait_ms / 1000
-        newest = await self._config_store.newest(CONFIGURATION_TOPIC)
+        newest = await self._config_store.newest(store_lib.CONFIGURATION_TOPIC)
         offset = newest.end
         self._apply_operator_records(newest.records)
         while True:
             self._regained()
             page = await self._config_store.read(
-                CONFIGURATION_TOPIC, offset, wait_s
+                store_lib.CONFIGURATION_TOPIC, offset, wait_s
             )
             offset = page.next_offset
             self._apply_operator_records(page.records)
@@ -131,12 +128,12 @@
         self, found: list[store_lib.KeyedRecord]
     ) -> None:
         for record in found:
-            if record.key != CONFIGURATION_KEY or not record.value:
+            if record.key != store_lib.CONFIGURATION_KEY or not record.value:
                 continue
             try:
                 config = records.decode_configuration(record.value)
             except ValueError as error:
-                self._ignored(CONFIGURATION_TOPIC, record.key, error)
+                self._ignored(store_lib.CONFIGURATION_TOPIC, record.key, error)
                 continue
             self._apply_configuration(config, "store")
 
@@ -177,14 +174,14 @@
 
     async def _read_servers(self) -> None:
         poll_s = self._dispatcher.settings.store.servers_poll_ms / 1000
-        newest = await self._store.newest(SERVERS_TOPIC)
+        newest = await self._store.newest(store_lib.SERVERS_TOPIC)
         offset = newest.end
         self._replace_servers(newest.records)
         while True:
             self._regained()
             factor = 1 if self._dispatcher.host else FOLLOWER_POLL_FACTOR
             await trio.sleep(poll_s * factor)
-            page = await self._store.read(SERVERS_TOPIC, offset, 0.0)
+            page = await self._store.read(store_lib.SERVERS_TOPIC, offset, 0.0)
             offset = page.next_offset
             for record in page.records:
                 self._apply_server(record)
@@ -210,7 +207,7 @@
         try:
             server = records.decode_server(record.key, record.value, now)
         except ValueError as error:
-            self._ignored(SERVERS_TOPIC, record.key, error)
+            self._ignored(store_lib.SERVERS_TOPIC, record.key, error)
             return
         self._servers[record.key] = server
         self._dropped.pop(record.key, None)
@@ -236,7 +233,7 @@
     async def _read_directory(self) -> None:
         poll_s = self._dispatcher.settings.store.directory_poll_ms / 1000
         await self._write_record()
-        newest = await self._directory_store.newest(directory_lib.TOPIC)
+        newest = await self._directory_store.newest(store_lib.ENTRIES_TOPIC)
         offset = newest.end
         self._apply_directory(newest.records)
         while True:
@@ -246,7 +243,7 @@
                 await self._claim_event.wait()
             await self._write_record()
             page = await self._directory_store.read(
-                directory_lib.TOPIC, offset, 0.0
+                store_lib.ENTRIES_TOPIC, offset, 0.0
             )
             offset = page.next_offset
             self._apply_directory(page.records)
@@ -264,7 +261,7 @@
             dispatcher.ownership.epoch,
         )
         await self._directory_store.put(
-            directory_lib.TOPIC, record.id, directory_lib.encode(record)
+            store_lib.ENTRIES_TOPIC, record.id, directory_lib.encode(record)
         )
 
     def _apply_directory(self, found: list[store_lib.KeyedRecord]) -> None:
@@ -273,7 +270,7 @@
             try:
                 self.directory.apply(record.key, record.value, now)
             except ValueError as error:
-                self._ignored(directory_lib.TOPIC, record.key, error)
+                self._ignored(store_lib.ENTRIES_TOPIC, record.key, error)
                 continue
             self._note_claim(record.key, now)
 
@@ -293,7 +290,9 @@
         now = clock.now()
         for key in self.directory.expired(ENTRY_EXPIRED_S, now):
             if key != self._dispatcher.my_id:
-                await self._directory_store.put(directory_lib.TOPIC, key, b"")
+                await self._directory_store.put(
+                    store_lib.ENTRIES_TOPIC, key, b""
+                )
                 self.directory.apply(key, b"", now)
 
     async def leave(self) -> None:
@@ -301,7 +300,7 @@
         with trio.move_on_after(LEAVE_S):
             try:
                 await self._directory_store.put(
-                    directory_lib.TOPIC, self._dispatcher.my_id, b""
+                    store_lib.ENTRIES_TOPIC, self._dispatcher.my_id, b""
                 )
             except errors.PlatformError as error:
                 self._lost(self._read_directory, error)
