A kept job is known to the placers of all zones

Ruled out: runs of lost placers (their leases lapse before the next try).

Now the entry asks for a job to run on and tells the placers of all zones; while one can't be told, the runs are stopped at the deadline.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -195,6 +195,10 @@
 
 struct CancelJob { jobId @0 :Text; reason @1 :Text; }
 
+struct KeepJob { jobId @0 :Text; }
+
+struct JobKept { jobId @0 :Text; zone @1 :Text; }
+
 struct JobVerdict {
   jobId @0 :Text;
   verdict @1 :Text;
@@ -230,5 +234,7 @@
     jobVerdict @19 :JobVerdict;
     routesCall @20 :RoutesCall;
     routesReply @21 :RoutesReply;
+    keepJob @22 :KeepJob;
+    jobKept @23 :JobKept;
   }
 }
--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -34,6 +34,11 @@
     records: dict[str, EntryRecord] = attrs.field(factory=dict)
     renewed_at: dict[str, float] = attrs.field(factory=dict)
 
+    @property
+    def zones(self) -> frozenset[str]:
+        """The availability zones that have entries."""
+        return frozenset(r.zone for r in self.records.values())
+
     def apply(self, key: str, value: bytes, now: float) -> None:
         """Takes in one record.
 
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -223,6 +223,7 @@
                 self.host.look_again()
         self._last_tick = now
         self._decide_ownership(now)
+        self.intake.zones = self.reader.directory.zones
         self.intake.update_targets(self._targets(now), now)
         self.intake.tick(now)
         for order in self.intake.take_orders():
@@ -309,6 +310,20 @@
                 link = self.hub.find(peer_id)
                 if link is not None:
                     link.post(messages.CancelJob(job_id, reason))
+            case intake_lib.Keep(peer_id, job_id):
+                if peer_id == self.my_id and self.host is not None:
+                    self.host.keep(job_id)
+                    return
+                link = self.hub.find(peer_id)
+                if link is not None:
+                    link.post(messages.KeepJob(job_id))
+            case intake_lib.Announce(peer_id, job_id, zone):
+                if peer_id == self.my_id and self.host is not None:
+                    self.host.note_foreign(job_id, zone)
+                    return
+                link = self.hub.find(peer_id)
+                if link is not None:
+                    link.post(messages.JobKept(job_id, zone))
             case intake_lib.Log(event, fields):
                 self.log(event, **fields)
 
@@ -401,6 +416,12 @@
             case messages.CancelJob(job_id, reason):
                 if self.host is not None:
                     self.host.cancel(job_id, session.outbox, reason)
+            case messages.KeepJob(job_id):
+                if self.host is not None:
+                    self.host.keep(job_id)
+            case messages.JobKept(job_id, zone):
+                if self.host is not None:
+                    self.host.note_foreign(job_id, zone)
             case messages.RoutesCall(version):
                 config = self.configuration
                 if config is not None and config.version > version:
--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -100,6 +100,23 @@
     reason: str
 
 
+@attrs.frozen
+class Keep:
+    """Order: let a job run on at its placer after its deadline."""
+
+    peer_id: str
+    job_id: str
+
+
+@attrs.frozen
+class Announce:
+    """Order: tell a placer which zone runs a job on."""
+
+    peer_id: str
+    job_id: str
+    zone: str
+
+
 @attrs.frozen
 class Log:
     """Order: write one line."""
@@ -110,11 +127,17 @@
 
 @attrs.define(eq=False)
 class Intake:
-    """The open requests of one entry."""
+    """The open requests of one entry.
+
+    Attributes:
+        targets: The placer of each zone that can be reached.
+        zones: The zones that have entries, reachable or not.
+    """
 
     zone: str
     requests: dict[str, Request] = attrs.field(factory=dict)
     targets: dict[str, Target] = attrs.field(factory=dict)
+    zones: frozenset[str] = frozenset()
     _orders: list = attrs.field(factory=list)
     _spilled: dict[str, int] = attrs.field(factory=dict)
 
@@ -222,10 +245,29 @@
                 AnswerKind.NOT_RUN, "no placer in time", RETRY_AFTER_S
             )
         else:
-            # What runs goes on: the caller asks again and gets its end.
+            self._let_run_on(request)
             answer = Answer(AnswerKind.UNKNOWN, "deadline")
         self._answer(request, answer)
 
+    def _let_run_on(self, request: Request) -> None:
+        """Keeps what runs for the caller, who asks again after a 504.
+
+        The next try may come to any zone. It must find the job, or run it
+        a second time beside the first; so without a word to all zones the
+        runs are stopped.
+        """
+        held = request.target
+        if held is None:
+            return
+        if not self.zones <= self.targets.keys():
+            self._withdraw(request, "deadline")
+            return
+        job_id = request.submission.job_id
+        self._orders.append(Keep(held.peer_id, job_id))
+        for target in self.targets.values():
+            if target.zone != held.zone:
+                self._orders.append(Announce(target.peer_id, job_id, held.zone))
+
     def _hand_over(self, request: Request, now: float) -> None:
         own = self.targets.get(self.zone)
         lapsed = (
@@ -287,6 +329,8 @@
                 self._answer(request, Answer(AnswerKind.FAILED, reason))
             case zonetables.Verdict.NOT_RUN.value:
                 self._not_run(request, reason, retry_after_s, now)
+            case zonetables.Verdict.ELSEWHERE.value:
+                self._redirect(request, reason, now)
             case "resigned":
                 # Its orders may have started tasks; its successor sees them.
                 self._lose_target(request, now)
@@ -295,6 +339,20 @@
                 request.target = None
                 request.not_before = now + 0.01
 
+    def _redirect(self, request: Request, zone: str, now: float) -> None:
+        """Sends a job to the zone that may still run it."""
+        self._log(
+            events.Event.REQUEST_REDIRECTED,
+            job=request.submission.job_id,
+            zone=zone,
+            age_ms=round((now - request.received_at) * 1000),
+        )
+        request.target = None
+        request.handovers += 1
+        request.lost_at = now
+        request.lost_zone = zone
+        self._hand_over(request, now)
+
     def _not_run(
         self, request: Request, reason: str, retry_after_s: float, now: float
     ) -> None:
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -345,6 +345,21 @@
     reason: str
 
 
+@attrs.frozen
+class KeepJob:
+    """The sender answered 504; its caller asks again a little later."""
+
+    job_id: str
+
+
+@attrs.frozen
+class JobKept:
+    """Another zone runs a job on after its deadline."""
+
+    job_id: str
+    zone: str
+
+
 @attrs.frozen
 class JobVerdict:
     """How a job ended; the value of a zonetables.Verdict."""
@@ -388,6 +403,8 @@
     | ZoneState
     | SubmitJob
     | CancelJob
+    | KeepJob
+    | JobKept
     | JobVerdict
     | RoutesCall
     | RoutesReply
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -17,9 +17,10 @@
 
 ORPHAN_S = 0.3  # for an entry whose link broke to dial again
 HANDOVER_NUMBERS = 16  # run numbers left to each earlier owner
-# A job that is running at its deadline goes on for its caller's next try,
+# A job that is running at its deadline may go on for its caller's next try,
 # which comes 1.3 s after the 504 and joins it.
 RESUMED_S = 2.0
+KEEP_WAIT_S = 0.3  # after the deadline, for its entry to ask for that
 ESTIMATE_MIN_S = 0.005
 SLOWNESS_STEP = 0.2  # servers within one step count as equally fast
 
@@ -81,6 +82,17 @@
             job.deadline_at = max(job.deadline_at, now + submission.left_s)
             self._log(events.Event.ZONE_JOB_ATTACHED, job=job.id)
             return
+        foreign = tables.foreign_jobs.get(submission.job_id)
+        if foreign is not None and now < foreign.until:
+            self._orders.append(
+                orders_lib.AnswerJob(
+                    (origin,),
+                    submission.job_id,
+                    zonetables.Verdict.ELSEWHERE,
+                    foreign.zone,
+                )
+            )
+            return
         recent = tables.recent.get(submission.job_id)
         if recent is not None and recent.verdict in (
             zonetables.Verdict.COMPLETED,
@@ -188,6 +200,20 @@
         self._log(events.Event.ZONE_JOB_CANCELLED, job=job.id, reason=reason)
         self._end(job, None, reason, now)
 
+    def keep(self, job_id: str, now: float) -> None:
+        """Lets a job run on after its deadline, for its caller's next try."""
+        job = self.tables.jobs.get(job_id)
+        if job is None:
+            return
+        job.kept_until = now + RESUMED_S
+        self._log(events.Event.ZONE_JOB_KEPT, job=job.id)
+
+    def note_foreign(self, job_id: str, zone: str, now: float) -> None:
+        """Another zone runs a job on; it must not start here meanwhile."""
+        until = now + RESUMED_S + zoneruns.LAPSE_S
+        self.tables.foreign_jobs.pop(job_id, None)
+        self.tables.foreign_jobs[job_id] = zonetables.ForeignJob(zone, until)
+
     def drop_origin(self, origin, may_return: bool, now: float) -> None:
         """Forgets an entry that can't be reached any more.
 
@@ -279,7 +305,7 @@
             if now >= job.deadline_at:
                 if not job.possible_starts:
                     self._fail(job, "deadline", now)
-                elif now >= job.deadline_at + RESUMED_S:
+                elif now >= max(job.deadline_at + KEEP_WAIT_S, job.kept_until):
                     self._abandon(job, now)
             elif (
                 not job.possible_starts
@@ -396,6 +422,10 @@
 
     def _forget(self, now: float) -> None:
         tables = self.tables
+        for job_id, foreign in list(tables.foreign_jobs.items()):
+            if now < foreign.until:
+                break  # the others were noted later
+            del tables.foreign_jobs[job_id]
         for table, kept_s in (
             (tables.recent, zonetables.RECENT_JOBS_KEPT_S),
             (tables.ended_unclaimed, zonetables.RECENT_JOBS_KEPT_S),
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -72,6 +72,14 @@
         self.placer.cancel(job_id, origin, reason, clock.now())
         self._dispatcher.wake()
 
+    def keep(self, job_id: str) -> None:
+        """Lets a job run on after its deadline."""
+        self.placer.keep(job_id, clock.now())
+
+    def note_foreign(self, job_id: str, zone: str) -> None:
+        """Notes that another zone runs a job on."""
+        self.placer.note_foreign(job_id, zone, clock.now())
+
     def drop_origin(self, origin, may_return: bool) -> None:
         """Forgets an entry whose link is over."""
         self.placer.drop_origin(origin, may_return, clock.now())
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -109,6 +109,52 @@
         self.tick(0.5)
         self.assertIs(self.answers[0].kind, intake_lib.AnswerKind.UNKNOWN)
 
+    def test_a_job_is_kept_after_its_deadline_and_all_zones_know(self):
+        # Ticketworks trouble-2 813414482892: the next try came to another
+        # zone and started tasks beside those that ran on.
+        self.intake.zones = frozenset({"zone-a", "zone-b"})
+        self.targets(0.0, target(), target("p2", "zone-b"))
+        self.receive(left_s=0.5)
+        self.intake.tick(0.5)
+        taken = self.intake.take_orders()
+        self.assertIn(intake_lib.Keep("p1", JOB), taken)
+        self.assertIn(intake_lib.Announce("p2", JOB, "zone-a"), taken)
+
+    def test_a_spilled_job_that_is_kept_is_announced_to_the_own_zone(self):
+        self.targets(0.0, target(), target("p2", "zone-b", free=20))
+        self.receive(left_s=0.5)
+        self.verdict("p1", "not_run", "overloaded")
+        self.intake.tick(0.5)
+        taken = self.intake.take_orders()
+        self.assertIn(intake_lib.Keep("p2", JOB), taken)
+        self.assertIn(intake_lib.Announce("p1", JOB, "zone-b"), taken)
+
+    def test_a_job_is_not_kept_while_a_zone_can_not_be_told(self):
+        self.intake.zones = frozenset({"zone-a", "zone-b"})
+        self.targets(0.0, target())
+        self.receive(left_s=0.5)
+        (order,) = self.withdrawn(0.5)
+        self.assertEqual(order.peer_id, "p1")
+
+    def withdrawn(self, now):
+        self.intake.tick(now)
+        return self.orders(intake_lib.Withdraw)
+
+    def test_a_job_goes_to_the_zone_that_runs_it_on(self):
+        self.targets(0.0, target(), target("p2", "zone-b"))
+        self.receive()
+        (order,) = self.verdict("p1", "elsewhere", "zone-b")
+        self.assertEqual(order.target.peer_id, "p2")
+        self.assertEqual(order.submission.handovers, 1)
+
+    def test_a_job_waits_for_the_zone_that_runs_it_on(self):
+        self.targets(0.0, target())
+        self.receive(left_s=1.0)
+        self.assertEqual(self.verdict("p1", "elsewhere", "zone-b"), [])
+        self.assertEqual(self.tick(0.5), [])
+        self.tick(1.0)
+        self.assertIs(self.answers[0].kind, intake_lib.AnswerKind.UNKNOWN)
+
     def test_verdicts_of_an_earlier_placer_are_ignored(self):
         self.targets(0.0, target())
         self.receive()
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -78,6 +78,28 @@
         verdicts = [a.verdict for a in build.answers(placer.take_orders())]
         self.assertNotIn(zonetables.Verdict.NOT_RUN, verdicts)
 
+    def test_a_job_runs_on_after_its_deadline_only_if_its_entry_asks(self):
+        for is_kept in (False, True):
+            placer = build.placer()
+            runs = build.starts(self.submit(placer, left_s=0.5))
+            self.confirm(placer, runs, 0.4)
+            if is_kept:
+                placer.keep("00000000000000aa", 0.52)
+            placer.tick(0.81)
+            stopped = build.stops(placer.take_orders())
+            self.assertEqual(stopped, [] if is_kept else runs)
+
+    def test_a_job_that_another_zone_runs_on_does_not_start_here(self):
+        placer = build.placer()
+        placer.note_foreign("00000000000000aa", "zone-b", 0.0)
+        found = self.submit(placer, 1.3)
+        self.assertEqual(build.starts(found), [])
+        (answer,) = build.answers(found)
+        self.assertIs(answer.verdict, zonetables.Verdict.ELSEWHERE)
+        self.assertEqual(answer.reason, "zone-b")
+        # After its last lease there it may start anywhere.
+        self.assertEqual(len(build.starts(self.submit(placer, 3.2))), 2)
+
     def test_an_explicit_refusal_of_the_start_allows_not_run(self):
         placer = build.placer()
         runs = build.starts(self.submit(placer, left_s=0.5))
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -198,6 +198,7 @@
             may still run it.
         waiting: Indices of tasks that are to be started.
         orphaned_at: When its last origin was lost.
+        kept_until: Until when it runs on after its deadline.
         possible_starts: Orders that may have started a task; a job with one
             can't be refused as not run any more.
     """
@@ -221,6 +222,7 @@
     possible_starts: int = 0
     first_start_at: float | None = None
     orphaned_at: float = 0.0
+    kept_until: float = 0.0
 
     def key(self, index: int) -> TaskKey:
         """Returns the key of one of its tasks."""
@@ -233,6 +235,7 @@
     COMPLETED = "completed"
     FAILED = "failed"
     NOT_RUN = "not_run"  # no task of it has started or ever will
+    ELSEWHERE = "elsewhere"  # the placer of another zone may still run it
 
 
 @attrs.frozen
@@ -250,12 +253,25 @@
     at: float
 
 
+@attrs.frozen
+class ForeignJob:
+    """A job that the placer of another zone runs on after its deadline.
+
+    Attributes:
+        until: When its last run has ended for certain.
+    """
+
+    zone: str
+    until: float
+
+
 @attrs.define(eq=False)
 class ZoneTables:
     """All that the placer of one availability zone knows.
 
     Attributes:
         live_runs: How many runs of each task may be going on.
+        foreign_jobs: Jobs that may still run in other zones.
         centred_at: When the slowness of servers was last centred.
     """
 
@@ -268,6 +284,7 @@
     counters: collections.Counter = attrs.field(factory=collections.Counter)
     centred_at: float = 0.0
     live_runs: collections.Counter = attrs.field(factory=collections.Counter)
+    foreign_jobs: dict[str, ForeignJob] = attrs.field(factory=dict)
 
     def add_run(self, run: Run) -> None:
         """Counts a run against the capacity of its server."""
