--- a/acacialine/client.py
+++ b/acacialine/client.py
@@ -56,6 +56,10 @@
     may_be_known: bool = False
 
 
+class _NoPrefixError(Exception):
+    """An entry gives no prefix, because it is about to stop."""
+
+
 class Client:
     """Submits jobs of one team to any of several entries."""
 
@@ -178,9 +182,10 @@
                     self._prefix = await self._fetch_prefix(url)
                 state.text = f"{self._prefix}/{state.key}"
             return await self._send(state, url)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            self._next += 1
         except (
+            _NoPrefixError,
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
@@ -193,6 +198,8 @@
     async def _fetch_prefix(self, url: str) -> str:
         with trio.fail_after(2.0):
             response = await self._pool.request("GET", url + "/v1/coordinator")
+        if response.status != 200:
+            raise _NoPrefixError(f"status {response.status} of {url}")
         return msgspec.json.decode(response.content)["prefix"]
 
     async def _send(self, state: _Attempted, url: str) -> Result:
--- a/acacialine/frontend.py
+++ b/acacialine/frontend.py
@@ -118,6 +118,9 @@
         return Reply(status, {"content-type": "text/plain"}, state)
 
     def _coordinator(self) -> Reply:
+        if self._tables.draining:
+            # An id that names a process about to exit may end unknown.
+            return Reply(503, {"content-type": "text/plain"}, b"draining")
         body = msgspec.json.encode({"prefix": submissions.prefix(self._tables)})
         return Reply(200, {"content-type": answers.JSON_TYPE}, body)
 
--- a/acacialine/tests/test_path.py
+++ b/acacialine/tests/test_path.py
@@ -5,7 +5,10 @@
 import msgspec
 import trio
 
+from acacialine import client as client_lib
+from acacialine import errors
 from acacialine.tests import support
+from acacialine.tools import layout as layout_lib
 
 
 class PathTest(unittest.TestCase):
@@ -110,6 +113,29 @@
             status, _, _ = await caller.request("GET", "/health")
             self.assertEqual(status, 503)
 
+    def test_an_entry_that_stops_gives_no_prefix(self):
+        support.run(self._stopping_prefix)
+
+    async def _stopping_prefix(self):
+        async with support.installation(["a"], [2], [2]) as local:
+            # An id of an entry that exits before it answers ends unknown.
+            first, second = local.layout.entries[:2]
+            entry = local.entries[first.name]
+            entry.core.tables.draining = True
+            caller = support.Caller(first.caller)
+            status, _, _ = await caller.request("GET", "/v1/coordinator")
+            self.assertEqual(status, 503)
+            urls = [
+                f"http://{layout_lib.text_of(plan.caller)}"
+                for plan in (first, second)
+            ]
+            client = client_lib.Client(urls, support.TOKEN)
+            result = await client.submit([{"payload": {"run_ms": 1}}], "quick")
+            await client.aclose()
+            self.assertIs(result.outcome, errors.Outcome.COMPLETE)
+            other = local.entries[second.name].core.tables.my_id
+            self.assertTrue(result.submission_id.startswith(other))
+
     def test_one_task_with_a_raw_body(self):
         support.run(self._raw)
 
