--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -170,6 +170,7 @@
   placerId @8 :Text;
   placerClaim @9 :UInt64;
   isReply @10 :Bool;
+  weight @11 :Float64;
 }
 
 struct SubmitJob {
--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -11,6 +11,7 @@
     Attributes:
         id: Its incarnation; the key of the record.
         claim: Its epoch while it is the placer of its zone, else 0.
+        weight: Its share of a processor.
     """
 
     id: str
@@ -19,6 +20,7 @@
     address: str
     started: float
     claim: int
+    weight: float = 1.0
 
     @property
     def peer_address(self) -> tuple[str, int]:
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -30,6 +30,7 @@
 from acacialine import placerhost
 from acacialine import routes
 from acacialine import storereader
+from acacialine import topology
 from acacialine.platform import ingress
 
 TICK_S = 0.02  # while requests are open
@@ -40,6 +41,7 @@
 HOUSEKEEPING_S = 0.5
 LAG_SMOOTHING = 0.4
 LAG_LIMIT_S = 0.05  # average lateness; an idle loop is under 2 ms late
+FAR_SILENT_S = 1.6  # for entries that beat less often; four heartbeats
 SLOW_S = 5.0  # for which a late loop leaves the zone to others
 OTHER_ZONE_LINKS = 2  # to a zone whose placer is not known
 STOP_READY_S = 2.2  # the balancer needs two misses a second apart
@@ -78,12 +80,18 @@
     _heard_of: dict[str, str] = attrs.field(factory=dict)
     _lag_s: float = 0.0
     _slow_until: float = 0.0
+    _is_senior: bool = True
 
     def __attrs_post_init__(self):
         now = clock.now()
         zone = self.settings.dispatcher.zone
         self.intake = intake_lib.Intake(zone)
-        self.ownership = ownership_lib.Ownership(self.my_id, self.started, now)
+        self.ownership = ownership_lib.Ownership(
+            self.my_id,
+            self.started,
+            now,
+            my_weight=self.settings.dispatcher.weight,
+        )
         self.hub = peering.Hub(
             self.identity,
             self._own_state,
@@ -349,6 +357,7 @@
             placer_id,
             self.ownership.claim_of(placer_id),
             is_reply,
+            self.settings.dispatcher.weight,
         )
 
     def _hear(self, state: messages.ZoneState) -> None:
@@ -371,6 +380,7 @@
             state.claim,
             state.is_candidate,
             clock.now(),
+            state.weight,
         )
 
     def _on_message(
@@ -460,41 +470,107 @@
 
     def _dial_known(self) -> None:
         """Keeps links to the own zone and to the placers of the others."""
-        me = self.settings.dispatcher.peer_address
-        wanted: dict[tuple[str, int], str] = {}
-        others: dict[str, list[directory_lib.EntryRecord]] = {}
-        for record in self.reader.directory.records.values():
-            if record.zone == self.zone:
-                wanted[record.peer_address] = record.zone
-            else:
-                others.setdefault(record.zone, []).append(record)
-        for zone, records in others.items():
-            records.sort(key=lambda r: (-r.claim, r.id))
-            if records[0].claim:
-                records = [r for r in records if r.claim]
-            for record in records[:OTHER_ZONE_LINKS]:
-                wanted[record.peer_address] = zone
-        for peer_id in list(self._heard_of):
-            address = ids.parse_incarnation(peer_id).address
-            link = self.hub.peers.get(address)
-            if address not in wanted and link is not None and link.is_refused:
-                del self._heard_of[peer_id]
-            elif self._heard_of[peer_id] == self.zone:
-                wanted.setdefault(address, self.zone)
+        now = clock.now()
+        chosen = topology.choose(
+            topology.rank(
+                self.settings.dispatcher.weight, self.started, self.my_id
+            ),
+            self._neighbours(now),
+        )
+        self._is_senior = chosen.is_candidate
+        self.ownership.silent_s = (
+            ownership_lib.SILENT_S if self._is_senior else FAR_SILENT_S
+        )
+        wanted = dict.fromkeys(chosen.addresses, self.zone)
+        wanted.update(self._own_placers(now))
+        wanted.update(self._other_placers())
         if len(wanted) < 2:
             for address in self.settings.dispatcher.seeds:
                 wanted.setdefault(address, "")
-        wanted.pop(me, None)
+        wanted.pop(self.settings.dispatcher.peer_address, None)
         for address, zone in wanted.items():
-            is_near = zone == self.zone
+            is_near = zone == self.zone and self._is_senior
             self.hub.dial(address, zone, is_near, self._nursery)
         for address, link in list(self.hub.peers.items()):
             if address not in wanted and not self._is_in_use(link):
                 self.hub.drop(address)
 
+    def _neighbours(self, now: float) -> list[topology.Neighbour]:
+        """Returns the other entries of the own zone, as far as known."""
+        found: dict[tuple[str, int], topology.Neighbour] = {}
+        for record in self.reader.directory.records.values():
+            if record.zone == self.zone and record.id != self.my_id:
+                found[record.peer_address] = self._neighbour(
+                    record.id, record.weight, record.started, now
+                )
+        for peer_id in list(self._heard_of):
+            if self._heard_of[peer_id] != self.zone or peer_id == self.my_id:
+                continue
+            address = ids.parse_incarnation(peer_id).address
+            if address in found:
+                continue
+            member = self.ownership.members.get(peer_id)
+            weight, started = (
+                (member.weight, member.started) if member else (1.0, now)
+            )
+            link = self.hub.peers.get(address)
+            if link is not None and link.is_refused:
+                del self._heard_of[peer_id]
+            else:
+                found[address] = self._neighbour(peer_id, weight, started, now)
+        me = self.settings.dispatcher.peer_address
+        found.pop(me, None)
+        return list(found.values())
+
+    def _neighbour(
+        self, peer_id: str, weight: float, started: float, now: float
+    ) -> topology.Neighbour:
+        address = ids.parse_incarnation(peer_id).address
+        link = self.hub.peers.get(address)
+        is_down = link is not None and link.is_down(now)
+        return topology.Neighbour(peer_id, address, weight, started, is_down)
+
+    def _own_placers(self, now: float) -> dict[tuple[str, int], str]:
+        """Returns where the placer of the own zone is said to be."""
+        names = {
+            r.id
+            for r in self.reader.directory.records.values()
+            if r.zone == self.zone and r.claim
+        }
+        for link in self.hub.peers.values():
+            if link.is_open and link.state.zone == self.zone:
+                names.add(link.state.placer_id)
+        names -= {"", self.my_id}
+        wanted = {}
+        for name in names:
+            address = ids.parse_incarnation(name).address
+            link = self.hub.peers.get(address)
+            if link is None or not link.is_down(now):
+                wanted[address] = self.zone
+        return wanted
+
+    def _other_placers(self) -> dict[tuple[str, int], str]:
+        """Returns where the placers of the other zones are, or may be."""
+        wanted: dict[tuple[str, int], str] = {}
+        others: dict[str, list[directory_lib.EntryRecord]] = {}
+        for record in self.reader.directory.records.values():
+            if record.zone != self.zone:
+                others.setdefault(record.zone, []).append(record)
+        for zone, found in others.items():
+            found.sort(key=lambda r: (-r.claim, r.id))
+            if found[0].claim:
+                found = [r for r in found if r.claim]
+            for record in found[:OTHER_ZONE_LINKS]:
+                wanted[record.peer_address] = zone
+        return wanted
+
     def _is_in_use(self, link: peering.PeerLink) -> bool:
-        """Returns whether a link that the directory does not ask for stays."""
-        if link.is_open and link.state.zone == self.zone:
+        """Returns whether a link stays that is not wanted otherwise.
+
+        Those are links to the placer of the own zone, whoever it is, and to
+        where open requests are.
+        """
+        if link.is_open and link.state.zone == self.zone and link.state.claim:
             return True
         return any(
             r.target is not None and r.target.peer_id == link.peer_id
@@ -521,7 +597,7 @@
         if self._lag_s > LAG_LIMIT_S:
             self._slow_until = now + SLOW_S
         self.ownership.is_candidate = (
-            not self.is_stopping and now >= self._slow_until
+            not self.is_stopping and now >= self._slow_until and self._is_senior
         )
 
     # Settings
--- a/acacialine/dispatchsettings.py
+++ b/acacialine/dispatchsettings.py
@@ -34,6 +34,18 @@
             "127.0.0.1:0",
             "IP:port of the counters and histograms.",
         ),
+        ini.Option(
+            "cores",
+            ini.number(0.01, 1024),
+            "1",
+            "Processors of this VM; the strongest entries place tasks.",
+        ),
+        ini.Option(
+            "cpu_share",
+            ini.number(0.01, 1),
+            "1",
+            "Share of these processors that this process may use.",
+        ),
         ini.Option(
             "seeds",
             ini.addresses,
@@ -113,9 +125,16 @@
     ready_address: tuple[str, int]
     peer_address: tuple[str, int]
     metrics_address: tuple[str, int]
+    cores: float
+    cpu_share: float
     seeds: tuple[tuple[str, int], ...]
     peer_keys: tuple[str, ...]
 
+    @property
+    def weight(self) -> float:
+        """How much this entry can do, in processors."""
+        return self.cores * self.cpu_share
+
 
 @attrs.frozen
 class StoreSettings:
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -298,6 +298,7 @@
         free_tasks: Tasks of the usual size that could start now.
         placer_id: The placer of the sender's zone as it knows; may be empty.
         placer_claim: That placer's epoch.
+        weight: The sender's share of a processor.
     """
 
     sender: str
@@ -311,6 +312,7 @@
     placer_id: str
     placer_claim: int
     is_reply: bool
+    weight: float
 
 
 @attrs.frozen
--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from acacialine import topology
+
 SILENT_S = 0.6  # without a heartbeat before a peer counts as dead
 HEARD_OF_S = 0.35  # two heartbeats of the one who hears the placer
 FORGOTTEN_S = 10.0  # of silence: removed for good, or cut off for long
@@ -17,6 +19,8 @@
 ISOLATED_WAIT_S = 2.5  # before an entry that reaches nobody at all claims
 FENCED_ALONE_S = 10.0  # for such an entry, once somebody has fenced it
 CLAIM_KEPT_S = 3.0  # age up to which a claim in the store counts
+STRONGER_FACTOR = 1.5  # of its weight makes a placer give way
+STRONGER_AFTER_S = 3.0  # for the stronger one to have settled
 FENCED_WAIT_S = 1.0  # before a fenced owner may claim again
 EPOCH_RANDOM_BITS = 18  # makes epochs of two claims in 0.1 s differ
 EPOCH_UNITS_PER_S = 10
@@ -39,21 +43,30 @@
         claim: Its epoch while it is the placer, else 0.
         is_candidate: Whether it would take over.
         started: Start of its process; the older entry goes first.
+        weight: Its share of a processor; the stronger goes before the older.
         refused: Whether its address refuses connections.
+        known_since: When it was first heard.
     """
 
     id: str
     started: float
+    weight: float = 1.0
     heard_at: float | None = None
     claim: int = 0
     is_candidate: bool = True
     refused: bool = False
+    known_since: float = 0.0
+
+    @property
+    def rank(self) -> tuple:
+        """Its place in the order of those who claim."""
+        return topology.rank(self.weight, self.started, self.id)
 
-    def is_live(self, now: float) -> bool:
+    def is_live(self, now: float, silent_s: float = SILENT_S) -> bool:
         """Returns whether it was heard a short time ago."""
         if self.heard_at is None or self.refused:
             return False
-        return now - self.heard_at < SILENT_S
+        return now - self.heard_at < silent_s
 
 
 @attrs.define(eq=False)
@@ -62,7 +75,10 @@
 
     Attributes:
         epoch: Epoch of the own claim; 0 without one.
-        is_candidate: False while this entry stops or is too slow.
+        is_candidate: False while this entry stops, is too slow, or leaves
+            the zone to stronger ones.
+        my_weight: The own share of a processor.
+        silent_s: Without a heartbeat before a peer counts as dead.
         stored_claim: Newest claim of another entry in the store: its epoch
             and when it was read.
         connected_at: When the store or an entry of another zone answered.
@@ -75,6 +91,8 @@
     epoch: int = 0
     highest_epoch: int = 0
     is_candidate: bool = True
+    my_weight: float = 1.0
+    silent_s: float = SILENT_S
     stored_claim: tuple[int, float] = (0, -1e9)
     connected_at: float = -1e9
     _not_before: float = 0.0
@@ -94,11 +112,12 @@
         claim: int,
         is_candidate: bool,
         now: float,
+        weight: float = 1.0,
     ) -> None:
         """Takes in a heartbeat of an entry of the same zone."""
         member = self.members.get(member_id)
         if member is None:
-            member = Member(member_id, started)
+            member = Member(member_id, started, weight, known_since=now)
             self.members[member_id] = member
         member.heard_at = now
         member.refused = False
@@ -123,7 +142,7 @@
         """Returns the entry to which jobs of this zone go."""
         best, best_epoch = (self.my_id, self.epoch) if self.epoch else (None, 0)
         for member in self.members.values():
-            if member.claim > best_epoch and member.is_live(now):
+            if member.claim > best_epoch and self._is_live(member, now):
                 best, best_epoch = member.id, member.claim
         return best
 
@@ -139,7 +158,9 @@
         """
         leader = self.placer(now)
         if self.epoch:
-            gives_up = not self.is_candidate and self._has_successor(now)
+            gives_up = (
+                not self.is_candidate and self._has_successor(now)
+            ) or self._is_outweighed(now)
             if leader != self.my_id or gives_up:
                 self.epoch = 0
                 self._not_before = now + FENCED_WAIT_S / 2
@@ -156,9 +177,23 @@
         self.epoch = self.highest_epoch = min(epoch, EPOCH_MAX)
         return Role.PLACER
 
+    def _is_live(self, member: Member, now: float) -> bool:
+        return member.is_live(now, self.silent_s)
+
     def _has_successor(self, now: float) -> bool:
         return any(
-            m.is_candidate and m.is_live(now) for m in self.members.values()
+            m.is_candidate and self._is_live(m, now)
+            for m in self.members.values()
+        )
+
+    def _is_outweighed(self, now: float) -> bool:
+        """Whether a much stronger entry has been there for a while."""
+        return any(
+            m.is_candidate
+            and m.weight >= self.my_weight * STRONGER_FACTOR
+            and now - m.known_since > STRONGER_AFTER_S
+            and self._is_live(m, now)
+            for m in self.members.values()
         )
 
     def claim_of(self, member_id: str) -> int:
@@ -175,7 +210,9 @@
         """
         self.highest_epoch = max(self.highest_epoch, claim)
         member = self.members.get(member_id)
-        if member is not None and (member.refused or member.is_live(now)):
+        if member is not None and (
+            member.refused or self._is_live(member, now)
+        ):
             return  # own evidence goes before what others say
         self._heard_of = (claim, now)
 
@@ -184,7 +221,7 @@
         self.epoch = 0
         wait_s = FENCED_WAIT_S
         if now - self.connected_at > ISOLATED_WAIT_S and not any(
-            m.is_live(now) for m in self.members.values()
+            self._is_live(m, now) for m in self.members.values()
         ):
             wait_s = FENCED_ALONE_S
         self._not_before = now + wait_s
@@ -202,7 +239,7 @@
         for member in list(self.members.values()):
             if now - (member.heard_at or 0.0) > FORGOTTEN_S:
                 self.forget(member.id)
-        live = [m for m in self.members.values() if m.is_live(now)]
+        live = [m for m in self.members.values() if self._is_live(m, now)]
         silent = [
             m
             for m in self.members.values()
@@ -212,9 +249,9 @@
             self._alone_since = None
         elif not self._may_claim_alone(now):
             return False
+        own_rank = topology.rank(self.my_weight, self.my_started, self.my_id)
         return all(
-            (not m.is_candidate and self.is_candidate)
-            or (self.my_started, self.my_id) < (m.started, m.id)
+            (not m.is_candidate and self.is_candidate) or own_rank < m.rank
             for m in live
         )
 
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -20,6 +20,7 @@
 OTHER_HEARTBEAT_S = 0.4
 SILENT_S = 0.6  # without any message; four heartbeats of the zone
 OTHER_SILENT_S = 1.0
+UNREACHABLE_S = 1.5  # of dialling without success
 RECONNECT_S = 0.1
 RECONNECT_MAX_S = 1.0
 OUTBOX_MESSAGES = 4096
@@ -107,6 +108,7 @@
     state: messages.ZoneState | None = None
     heard_at: float = 0.0
     is_refused: bool = False
+    dialled_at: float = attrs.field(factory=clock.now)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _outbox: Outbox | None = None
 
@@ -115,6 +117,13 @@
         """Whether messages can be sent and answers were heard."""
         return self._outbox is not None and self.state is not None
 
+    def is_down(self, now: float) -> bool:
+        """Returns whether the peer can't be reached."""
+        if self.is_open:
+            return False
+        last_at = max(self.dialled_at, self.heard_at)
+        return self.is_refused or now - last_at > UNREACHABLE_S
+
     def post(self, message: messages.Message) -> bool:
         """Queues a message; False without an open link."""
         return self._outbox is not None and self._outbox.post(message)
@@ -161,9 +170,9 @@
                 self.hub.on_closed(self, reason)
 
     async def _beat(self) -> None:
-        pause_s = ZONE_HEARTBEAT_S if self.is_near else OTHER_HEARTBEAT_S
-        silent_s = SILENT_S if self.is_near else OTHER_SILENT_S
         while True:
+            pause_s = ZONE_HEARTBEAT_S if self.is_near else OTHER_HEARTBEAT_S
+            silent_s = SILENT_S if self.is_near else OTHER_SILENT_S
             if clock.now() - self.heard_at > silent_s:
                 raise _LinkEndedError("silent")
             self.post(self.hub.own_state(False))
@@ -224,6 +233,7 @@
             link = PeerLink(address, zone, is_near, self)
             self.peers[address] = link
             nursery.start_soon(link.run)
+        self.peers[address].is_near = is_near
 
     def drop(self, address: tuple[str, int]) -> None:
         """Closes the link to an address."""
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -259,6 +259,7 @@
             f"{host}:{port}",
             dispatcher.started,
             dispatcher.ownership.epoch,
+            dispatcher.settings.dispatcher.weight,
         )
         await self._directory_store.put(
             store_lib.ENTRIES_TOPIC, record.id, directory_lib.encode(record)
