Placing scales with servers: one outlook a job, room kept, full demands skipped

Cause (profile): free room was worked out at each look at a server, the outlook of a job four times, waiting tasks once for each job, and every waiting job searched all servers at each tick.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -35,6 +35,7 @@
 
 TICK_S = 0.02  # while requests are open
 IDLE_TICK_S = 0.1
+COSTLY_TICK_S = 0.001  # after which the loop turns to others first
 CALLER_IDLE_S = 60.0
 PAUSE_S = 0.4  # a gap between ticks after which this process was paused
 DIAL_S = 0.3
@@ -218,7 +219,12 @@
     async def _run_ticks(self) -> None:
         while True:
             self._wake = trio.Event()
-            self._tick(clock.now())
+            begun = clock.now()
+            self._tick(begun)
+            took_s = clock.now() - begun
+            if took_s > COSTLY_TICK_S:
+                # What comes meanwhile is decided together.
+                await trio.sleep(min(took_s, TICK_S))
             busy = self.intake.requests or (self.host and self.host.is_busy)
             with trio.move_on_after(TICK_S if busy else IDLE_TICK_S):
                 await self._wake.wait()
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -21,6 +21,7 @@
 # which comes 1.3 s after the 504 and joins it.
 RESUMED_S = 2.0
 KEEP_WAIT_S = 0.3  # after the deadline, for its entry to ask for that
+CHECK_S = 0.01  # between searches of all runs for what is over time
 ESTIMATE_MIN_S = 0.005
 SLOWNESS_STEP = 0.2  # servers within one step count as equally fast
 
@@ -46,6 +47,30 @@
     is_spilled: bool = False
 
 
+@attrs.frozen
+class _Usable:
+    """A backend server that takes new tasks."""
+
+    slowness_steps: int
+    server: zonetables.Server
+
+
+@attrs.frozen
+class _Full:
+    """A demand that fits on no backend server at the moment."""
+
+    service: str
+    step: zonetables.Step
+
+    def covers(self, job: zonetables.Job) -> bool:
+        """Returns whether a job can't have room either."""
+        return (
+            job.queue.service == self.service
+            and job.step.label == self.step.label
+            and self.step.demand.fits(job.step.demand)
+        )
+
+
 @attrs.define(eq=False)
 class Placer:
     """Owner of the backend servers of one availability zone.
@@ -62,6 +87,7 @@
     owned_since: float
     runs: zoneruns.Runs = attrs.field(init=False)
     _orders: list[orders_lib.Order] = attrs.field(factory=list)
+    _checked_at: float = -1e9
 
     def __attrs_post_init__(self):
         self.runs = zoneruns.Runs(self.tables, self, self._emit)
@@ -107,11 +133,9 @@
         job = self._new_job(submission, origin, recent, now)
         if submission.handovers:
             self.runs.adopt(job)
-        reason = self.admission.reason_to_refuse(
-            job, submission.is_spilled, now
-        )
-        if reason and not job.possible_starts:
-            self._refuse(job, reason, now)
+        decision = self.admission.decide(job, submission.is_spilled, now)
+        if decision.reason and not job.possible_starts:
+            self._refuse(job, decision.reason, decision.outlook, now)
             return
         tables.jobs[job.id] = job
         self._log(
@@ -161,9 +185,15 @@
             job.hold_until = self.owned_since + zoneruns.LAPSE_S
         return job
 
-    def _refuse(self, job: zonetables.Job, reason: str, now: float) -> None:
-        retry_after_s = self.admission.retry_after_s(job, now)
-        end = schedule.predicted_end(self.tables, job, now)
+    def _refuse(
+        self,
+        job: zonetables.Job,
+        reason: str,
+        outlook: schedule.Outlook,
+        now: float,
+    ) -> None:
+        retry_after_s = zoneadmission.retry_after_s(job, outlook, now)
+        end = outlook.end
         self._log(
             events.Event.ZONE_JOB_REFUSED,
             job=job.id,
@@ -171,7 +201,7 @@
             reason=reason,
             tasks=job.step.count,
             waiting_jobs=self._waiting_jobs(),
-            free_places=self.admission.free_places(job, now),
+            free_places=outlook.free_places,
             waiting_tasks=self.admission.waiting_tasks(),
             free_elsewhere=self.admission.free_elsewhere,
             predicted_ms=zonetables.milliseconds(end - job.arrived_at)
@@ -268,7 +298,8 @@
     def _fail(self, job: zonetables.Job, reason: str, now: float) -> None:
         """Gives a job up: not run if that is certain, else failed."""
         if not job.possible_starts:
-            self._refuse(job, reason, now)
+            outlook = schedule.new_outlook(self.tables, job, now)
+            self._refuse(job, reason, outlook, now)
             return
         self._log(
             events.Event.ZONE_JOB_FAILED,
@@ -294,13 +325,16 @@
 
     def tick(self, now: float) -> None:
         """Ends what is over time, then starts what fits, best first."""
-        self.runs.resolve(now)
-        self._end_orphans(now)
+        if now - self._checked_at >= CHECK_S:
+            self._checked_at = now
+            self.runs.resolve(now)
+            self._end_orphans(now)
+            self._forget(now)
         self._give_up(now)
         self._start_tasks(now)
-        self._forget(now)
 
     def _give_up(self, now: float) -> None:
+        fullness = self.admission.fullness()
         for job in list(self.tables.jobs.values()):
             if now >= job.deadline_at:
                 if not job.possible_starts:
@@ -309,7 +343,8 @@
                     self._abandon(job, now)
             elif (
                 not job.possible_starts
-                and now + job.estimate_s > self.admission.latest_end(job)
+                and now + job.estimate_s
+                > self.admission.latest_end(job, fullness)
             ):
                 self._fail(job, "overloaded", now)
 
@@ -323,24 +358,35 @@
         ]
         if not waiting:
             return
-        usable = [
-            s
-            for s in self.tables.servers.values()
-            if judge.is_usable(s, now) and not zoneruns.has_unclaimed(s)
-        ]
+        usable = self._usable_servers(now)
+        full = []  # demands for which there is no room any more
         for job in schedule.in_order(waiting, now):
+            if any(f.covers(job) for f in full):
+                continue
             started = []
             for index in list(job.waiting):
                 if job.key(index) in self.tables.live_runs:
                     continue  # an earlier run of it has not certainly ended
-                server = self._choose_server(job, index, usable, now)
+                server = self._choose_server(job, index, usable)
                 if server is None:
+                    if index not in job.avoid:
+                        full.append(_Full(job.queue.service, job.step))
                     break
                 job.waiting.remove(index)
                 started.append((index, self._start(job, index, server, now)))
             if started:
                 self._log_started(job, started, now)
 
+    def _usable_servers(self, now: float) -> list["_Usable"]:
+        """Returns the servers for new tasks, the fastest first."""
+        found = [
+            _Usable(round(judge.slowness(s, now) / SLOWNESS_STEP), s)
+            for s in self.tables.servers.values()
+            if judge.is_usable(s, now) and not zoneruns.has_unclaimed(s)
+        ]
+        found.sort(key=lambda u: u.slowness_steps)
+        return found
+
     def _log_started(
         self,
         job: zonetables.Job,
@@ -362,21 +408,20 @@
         )
 
     def _choose_server(
-        self,
-        job: zonetables.Job,
-        index: int,
-        usable: list[zonetables.Server],
-        now: float,
+        self, job: zonetables.Job, index: int, usable: list["_Usable"]
     ) -> zonetables.Server | None:
         """Returns the server where the task is expected to end first.
 
         Among equally fast ones the fullest is taken, so that wide room stays.
         """
         best = None
-        best_key = None
+        best_steps = 0
         step = job.step
         avoided = job.avoid.get(index)
-        for server in usable:
+        for entry in usable:
+            if best is not None and entry.slowness_steps > best_steps:
+                break
+            server = entry.server
             if server.service != job.queue.service:
                 continue
             if server.id == avoided and len(usable) > 1:
@@ -385,10 +430,8 @@
                 continue
             if step.label and step.label not in server.labels:
                 continue
-            slow = round(judge.slowness(server, now) / SLOWNESS_STEP)
-            key = (slow, server.free.cpu)
-            if best_key is None or key < best_key:
-                best, best_key = server, key
+            if best is None or server.free.cpu < best.free.cpu:
+                best, best_steps = server, entry.slowness_steps
         return best
 
     def _start(
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -24,6 +24,7 @@
 REMOVED_S = 3.0  # two reads of the list by a follower, and a lease
 RETRY_LOOK_S = 0.1
 RETRY_LOOK_MAX_S = 0.8
+ROOM_KEPT_S = 0.05  # every heartbeat tells of it
 TYPICAL_DEMAND = resources.Resources(cpu=7000)  # until a job was seen
 
 
@@ -54,6 +55,8 @@
     _usual: resources.Resources = TYPICAL_DEMAND
     _closed: bool = False
     _reported: dict[str, int] = attrs.field(factory=dict)
+    _room: int = 0
+    _room_at: float = -1e9
 
     @property
     def is_busy(self) -> bool:
@@ -94,8 +97,14 @@
 
     def room(self) -> int:
         """Returns how many tasks of the usual size could start now."""
-        tables = self.placer.tables
         now = clock.now()
+        if now - self._room_at > ROOM_KEPT_S:
+            self._room_at = now
+            self._room = self._count_room(now)
+        return self._room
+
+    def _count_room(self, now: float) -> int:
+        tables = self.placer.tables
         waiting = sum(len(j.waiting) for j in tables.jobs.values())
         services = {s.service for s in tables.servers.values()}
         free = 0
--- a/acacialine/schedule.py
+++ b/acacialine/schedule.py
@@ -7,11 +7,15 @@
 
 import collections.abc
 import heapq
+import sys
+
+import attrs
 
 from acacialine import judge
 from acacialine import resources as resources_lib
 from acacialine import zonetables
 
+UNBOUNDED = sys.maxsize
 OVERDUE_SHARE = 0.5  # of its expectation that an overdue run still takes
 
 
@@ -61,14 +65,15 @@
             continue
         if label and label not in server.labels:
             continue
-        if not demand.fits(server.capacity):
-            continue
         count = places(server.capacity, demand)
-        ends = sorted(expected_end(run, now) for run in server.runs.values())
         idle = min(count, places(server.free, demand))
         first = max(now, server.avoid_until)
         times.extend([first] * idle)
-        times.extend(max(first, end) for end in ends[: count - idle])
+        if idle < count:
+            ends = sorted(
+                expected_end(run, now) for run in server.runs.values()
+            )
+            times.extend(max(first, end) for end in ends[: count - idle])
     return times
 
 
@@ -76,39 +81,56 @@
     room: resources_lib.Resources, demand: resources_lib.Resources
 ) -> int:
     """Returns how many tasks of a demand fit into some room."""
-    counts = [
-        have // need
-        for have, need in (
-            (room.cpu, demand.cpu),
-            (room.memory_mb, demand.memory_mb),
-            (room.gpu, demand.gpu),
-        )
-        if need > 0
-    ]
-    return max(0, min(counts, default=1))
+    count = room.cpu // demand.cpu if demand.cpu else UNBOUNDED
+    if demand.memory_mb:
+        count = min(count, room.memory_mb // demand.memory_mb)
+    if demand.gpu:
+        count = min(count, room.gpu // demand.gpu)
+    if count == UNBOUNDED:
+        return 1  # of a task that needs nothing; its duration still counts
+    return max(0, count)
+
+
+@attrs.frozen
+class Outlook:
+    """What a zone can do for a job at one moment.
+
+    Attributes:
+        places: Places for tasks of its demand, taken ones included.
+        free_places: Those that are free now.
+        end: When the job would end behind the work that goes before it; None
+            if no backend server can take its tasks at present.
+    """
+
+    places: int
+    free_places: int
+    end: float | None
 
 
-def predicted_end(
+def new_outlook(
+    tables: zonetables.ZoneTables, job: zonetables.Job, now: float
+) -> Outlook:
+    """Plays the work that goes before a job onto the expected ends of runs."""
+    step = job.step
+    times = slot_times(tables, job.queue.service, step.demand, step.label, now)
+    free = sum(1 for at in times if at <= now)
+    end = _end_behind(tables, job, times, now) if times else None
+    return Outlook(len(times), free, end)
+
+
+def _end_behind(
     tables: zonetables.ZoneTables,
     job: zonetables.Job,
+    times: list[float],
     now: float,
-) -> float | None:
-    """Returns when a job would end behind the work that goes before it.
-
-    Returns:
-        None if no backend server can take its tasks at present.
-    """
-    heap = slot_times(
-        tables, job.queue.service, job.step.demand, job.step.label, now
-    )
-    if not heap:
-        return None
+) -> float:
+    heap = times
     heapq.heapify(heap)
     own_rank = rank(job, now)
     ahead = [
         other
         for other in tables.jobs.values()
-        if other is not job and other.waiting and rank(other, now) < own_rank
+        if other.waiting and other is not job and rank(other, now) < own_rank
     ]
     for other in in_order(ahead, now):
         duration_s = task_s(tables, other)
--- a/acacialine/zoneadmission.py
+++ b/acacialine/zoneadmission.py
@@ -28,10 +28,10 @@
     free_elsewhere: int = 0
     usual_places: int = 1
 
-    def reason_to_refuse(
+    def decide(
         self, job: zonetables.Job, is_spilled: bool, now: float
-    ) -> str:
-        """Returns why a job is refused; empty if it is accepted."""
+    ) -> "Decision":
+        """Returns whether a job is refused, why, and what was expected."""
         step = job.step
         fitting = [
             s
@@ -41,62 +41,76 @@
             and step.demand.fits(s.capacity)
             and (not step.label or step.label in s.labels)
         ]
+        outlook = schedule.new_outlook(self.tables, job, now)
         if not fitting:
-            return "unservable"
+            return Decision("unservable", outlook)
         if not all(s.listed for s in fitting):
-            return ""  # right after a takeover; room is not known yet
+            # Right after a takeover; room is not known yet.
+            return Decision("", outlook)
         if job.deadline_at - now < job.estimate_s:
-            return "deadline"
-        self.usual_places = len(
-            schedule.slot_times(
-                self.tables, job.queue.service, step.demand, step.label, now
-            )
-        )
-        end = schedule.predicted_end(self.tables, job, now)
-        if end is None:
+            return Decision("deadline", outlook)
+        self.usual_places = outlook.places
+        reason = self._reason_to_refuse(job, outlook, is_spilled)
+        return Decision(reason, outlook)
+
+    def _reason_to_refuse(
+        self,
+        job: zonetables.Job,
+        outlook: schedule.Outlook,
+        is_spilled: bool,
+    ) -> str:
+        if outlook.end is None:
             # No server answers at present; another zone may have some.
             return "" if is_spilled else "unservable"
-        if end <= min(self.latest_end(job), job.deadline_at):
+        latest = self.latest_end(job, self.fullness())
+        if outlook.end <= min(latest, job.deadline_at):
             return ""
-        if not is_spilled and self.free_elsewhere >= step.count:
+        if not is_spilled and self.free_elsewhere >= job.step.count:
             return "overloaded"  # its entry then asks the other zone
-        return "" if self._has_place(job, now) else "overloaded"
-
-    def _has_place(self, job: zonetables.Job, now: float) -> bool:
-        """Returns whether a task could start now, ahead of none waiting."""
-        return self.free_places(job, now) > self.waiting_tasks()
-
-    def free_places(self, job: zonetables.Job, now: float) -> int:
-        """Returns how many tasks of a job could start now if none waited."""
-        step = job.step
-        times = schedule.slot_times(
-            self.tables, job.queue.service, step.demand, step.label, now
-        )
-        return sum(1 for at in times if at <= now)
+        has_place = outlook.free_places > self.waiting_tasks()
+        return "" if has_place else "overloaded"
 
     def waiting_tasks(self) -> int:
         """Returns how many tasks wait for a place."""
         return sum(len(j.waiting) for j in self.tables.jobs.values())
 
-    def latest_end(self, job: zonetables.Job) -> float:
+    def fullness(self) -> float:
+        """Returns waiting tasks as a share of all places, 0 to 1."""
+        return min(1.0, self.waiting_tasks() / max(1, self.usual_places))
+
+    def latest_end(self, job: zonetables.Job, fullness: float) -> float:
         """Returns until when an end is still worth the room it takes.
 
         The fuller the queue, the less lateness is accepted, because a late
         job then makes others late.
         """
         objective_s = job.objective_at - job.arrived_at
-        fullness = min(1.0, self.waiting_tasks() / max(1, self.usual_places))
         share = self.late_share + fullness * (FULL_LATE_SHARE - self.late_share)
         return job.objective_at + share * objective_s
 
-    def retry_after_s(self, job: zonetables.Job, now: float) -> float:
-        """Returns when the work ahead has drained, spread over returns."""
-        end = schedule.predicted_end(self.tables, job, now)
-        wait_s = (end or now) - now
-        # Spreads callers by their id: those refused together return apart.
-        spread = int(job.id[-2:] or "0", 16) / 255 if _is_hex(job.id) else 0.5
-        wait_s = wait_s * (1 + spread)
-        return min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
+
+@attrs.frozen
+class Decision:
+    """Whether a job is accepted.
+
+    Attributes:
+        reason: Why it is refused; empty if it is accepted.
+        outlook: What the zone could do for it.
+    """
+
+    reason: str
+    outlook: schedule.Outlook
+
+
+def retry_after_s(
+    job: zonetables.Job, outlook: schedule.Outlook, now: float
+) -> float:
+    """Returns when the work ahead has drained, spread over returns."""
+    wait_s = (outlook.end or now) - now
+    # Spreads callers by their id: those refused together return apart.
+    spread = int(job.id[-2:] or "0", 16) / 255 if _is_hex(job.id) else 0.5
+    wait_s = wait_s * (1 + spread)
+    return min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
 
 
 def _is_hex(text: str) -> bool:
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -86,7 +86,7 @@
         run.job = job
         run.expected_s = job.estimate_s
         run.demand = job.step.demand
-        server.used = server.used + run.demand
+        server.occupy(run.demand)
         job.runs[index] = run
         job.next_number[index] = max(
             job.next_number.get(index, 1), run.number + 1
@@ -406,7 +406,7 @@
         server.cold_until = entry.cold_until
         server.address = entry.address
         server.service = entry.service
-        server.capacity = entry.capacity
+        server.resize(entry.capacity)
         server.labels = entry.labels
         if entry.announced_life != server.announced_life:
             server.announced_life = entry.announced_life
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -143,6 +143,7 @@
             0 until it was heard.
         listed: Whether its runs are known since this process owns it.
         used: What its runs occupy, doubtful and stopping ones included.
+        free: What no run occupies; kept beside `used`, as it is read often.
         acknowledged: Number of the last end that was taken note of.
         slowness: Observed duration of runs, as a factor of the expected one.
         failures: Weight of recent failures, 0 to 1.
@@ -166,6 +167,7 @@
     announced_life: int = 0
     listed: bool = False
     used: resources_lib.Resources = resources_lib.NOTHING
+    free: resources_lib.Resources = attrs.field(init=False)
     runs: dict[tuple[TaskKey, int], Run] = attrs.field(factory=dict)
     acknowledged: int = 0
     has_unacknowledged: bool = False
@@ -178,10 +180,23 @@
     clock_at: float = 0.0
     lease_until: float = 0.0
 
-    @property
-    def free(self) -> resources_lib.Resources:
-        """What no run occupies."""
-        return self.capacity - self.used
+    def __attrs_post_init__(self):
+        self.free = self.capacity - self.used
+
+    def occupy(self, demand: resources_lib.Resources) -> None:
+        """Counts a demand against the capacity."""
+        self.used = self.used + demand
+        self.free = self.capacity - self.used
+
+    def release(self, demand: resources_lib.Resources) -> None:
+        """Gives back what a demand occupied."""
+        self.used = self.used - demand
+        self.free = self.capacity - self.used
+
+    def resize(self, capacity: resources_lib.Resources) -> None:
+        """Takes in another capacity."""
+        self.capacity = capacity
+        self.free = self.capacity - self.used
 
 
 @attrs.define(eq=False)
@@ -290,7 +305,7 @@
         """Counts a run against the capacity of its server."""
         server = run.server
         server.runs[run.id] = run
-        server.used = server.used + run.demand
+        server.occupy(run.demand)
         self.live_runs[run.key] += 1
 
     def remove_run(self, run: Run, now: float) -> None:
@@ -298,7 +313,7 @@
         server = run.server
         if server.runs.pop(run.id, None) is None:
             return
-        server.used = server.used - run.demand
+        server.release(run.demand)
         server.gone[run.id] = now
         self.live_runs[run.key] -= 1
         if not self.live_runs[run.key]:
