--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -493,7 +493,7 @@
         if len(wanted) < 2:
             for address in self.settings.dispatcher.seeds:
                 wanted.setdefault(address, "")
-        wanted.pop(self.settings.dispatcher.peer_address, None)
+        wanted.pop(self.settings.dispatcher.dialled_address, None)
         for address, zone in wanted.items():
             is_near = zone == self.zone and self._is_senior
             self.hub.dial(address, zone, is_near, self._nursery)
@@ -524,7 +524,7 @@
                 del self._heard_of[peer_id]
             else:
                 found[address] = self._neighbour(peer_id, weight, started, now)
-        me = self.settings.dispatcher.peer_address
+        me = self.settings.dispatcher.dialled_address
         found.pop(me, None)
         return list(found.values())
 
@@ -662,7 +662,7 @@
 def new_dispatcher(settings: dispatchsettings.Settings) -> Dispatcher:
     """Creates a dispatcher from its settings."""
     entry = settings.dispatcher
-    me = ids.new_incarnation(*entry.peer_address)
+    me = ids.new_incarnation(*entry.dialled_address)
     return Dispatcher(
         settings,
         eventlog.new_event_log(entry.name),
--- a/acacialine/dispatchsettings.py
+++ b/acacialine/dispatchsettings.py
@@ -28,6 +28,12 @@
             None,
             "IP:port on which other entries connect.",
         ),
+        ini.Option(
+            "peer_advertise",
+            ini.string,
+            "",
+            "IP:port at which others reach peer_address; that one if empty.",
+        ),
         ini.Option(
             "metrics_address",
             ini.address,
@@ -124,12 +130,20 @@
     caller_address: tuple[str, int]
     ready_address: tuple[str, int]
     peer_address: tuple[str, int]
+    peer_advertise: str
     metrics_address: tuple[str, int]
     cores: float
     cpu_share: float
     seeds: tuple[tuple[str, int], ...]
     peer_keys: tuple[str, ...]
 
+    @property
+    def dialled_address(self) -> tuple[str, int]:
+        """The address at which other entries reach this one."""
+        if self.peer_advertise:
+            return ini.address(self.peer_advertise)
+        return self.peer_address
+
     @property
     def weight(self) -> float:
         """How much this entry can do, in processors."""
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -251,7 +251,7 @@
 
     async def _write_record(self) -> None:
         dispatcher = self._dispatcher
-        host, port = dispatcher.settings.dispatcher.peer_address
+        host, port = dispatcher.settings.dispatcher.dialled_address
         record = directory_lib.EntryRecord(
             dispatcher.my_id,
             dispatcher.settings.dispatcher.name,
--- a/acacialine/tools/faultproxy.py
+++ b/acacialine/tools/faultproxy.py
@@ -46,6 +46,8 @@
         count: Connections still to be hit; None is all.
         delay_s: Delay of each direction.
         mid_bytes: Bytes passed before a reset in the middle.
+        held: Directions, request (True) and reply (False), in which bytes are
+            held back until they are released, as behind a cut.
         rule: For peer links: delay in s by dialling incarnation; None cuts.
     """
 
@@ -57,7 +59,20 @@
     mid_bytes: int = 200
     hits: int = 0
     rule: collections.abc.Callable[[str], float | None] | None = None
+    held: frozenset[bool] = frozenset()
     open: set[trio.SocketStream] = attrs.field(factory=set)
+    _released: trio.Event = attrs.field(factory=trio.Event)
+
+    def hold(self, *directions: bool) -> None:
+        """Holds bytes back in some directions; in none releases them all."""
+        self.held = frozenset(directions)
+        self._released.set()
+        self._released = trio.Event()
+
+    async def wait_released(self, direction: bool) -> None:
+        """Returns once bytes may pass in a direction."""
+        while direction in self.held:
+            await self._released.wait()
 
     def take_fault(self) -> Fault:
         """Returns the fault of a new connection."""
@@ -114,15 +129,16 @@
             async with trio.open_nursery() as inner:
                 inner.start_soon(_deliver, receive, sink)
                 async with send:
-                    await self._read(source, send, filtered)
+                    await self._read(source, send, filtered, upstream)
         except* _ERRORS:
             nursery.cancel_scope.cancel()
 
-    async def _read(self, source, send, filtered) -> None:
+    async def _read(self, source, send, filtered, upstream) -> None:
         while True:
             data = await source.receive_some(CHUNK_BYTES)
             if not data:
                 return
+            await self.route.wait_released(upstream)
             data = await filtered(data)
             due = trio.current_time() + self.delay_s
             await send.send((due, data))
