--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -378,6 +378,7 @@
 
 cli.add_command(commands.standin)
 cli.add_command(commands.bench)
+cli.add_command(commands.soak)
 
 
 def main() -> None:
--- /dev/null
+++ b/acacialine/tests/test_soak.py
@@ -0,0 +1,39 @@
+"""The soak: its plans repeat, and a short run breaks no promise."""
+
+import unittest
+
+from acacialine.tools import soak
+from acacialine.tools import soakplan
+
+SECONDS = 8.0
+ENTRIES = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+SERVERS = {"i-0": "a", "i-1": "a", "i-2": "b", "i-3": "b"}
+
+
+def plan(seed, seconds=60.0):
+    return soakplan.new_plan(seed, seconds, ENTRIES, SERVERS, 2.0)
+
+
+class SoakPlanTest(unittest.TestCase):
+    def test_a_seed_repeats_its_plan(self):
+        self.assertEqual(plan(1), plan(1))
+        self.assertNotEqual(plan(1), plan(2))
+
+    def test_each_zone_keeps_an_entry_and_a_server_untouched(self):
+        struck = {f.target for seed in range(20) for f in plan(seed).faults}
+        self.assertLessEqual(struck, {"a2", "b2", "i-1", "i-3", ""})
+
+    def test_every_kind_comes(self):
+        kinds = {f.kind for seed in range(20) for f in plan(seed).faults}
+        self.assertEqual(kinds, set(soakplan.Kind))
+
+
+class SoakTest(unittest.TestCase):
+    def test_a_short_soak_breaks_no_promise(self):
+        verdict = soak.run(1, SECONDS, soak.Size(jobs_per_s=8.0))
+        self.assertEqual(verdict.findings, [])
+        self.assertGreater(verdict.answers[200], 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/acacialine/tools/commands.py
+++ b/acacialine/tools/commands.py
@@ -205,3 +205,42 @@
     from acacialine.tools import proxyserver
 
     proxyserver.main(path)
+
+
+@click.command()
+@click.option("--seed", default=None, type=int, help="Plays this seed only.")
+@click.option("--seeds", default=5, show_default=True, help="Fresh seeds.")
+@click.option("--minutes", type=float, help="Fresh seeds for this long.")
+@click.option("--seconds", default=15.0, show_default=True, help="Traffic.")
+@click.option(
+    "--processes",
+    default=4,
+    show_default=True,
+    type=click.IntRange(4, 300),
+    help="Entries, in two zones.",
+)
+def soak(seed, seeds, minutes, seconds, processes) -> None:
+    """Plays real dispatchers under random faults; exits 1 on a finding."""
+    import random
+    import sys
+    import time
+
+    from acacialine.tools import soak as soak_lib
+
+    size = soak_lib.new_size(processes)
+    end = time.monotonic() + (minutes or 0) * 60
+    played = found = 0
+    while True:
+        drawn = random.getrandbits(31) if seed is None else seed
+        verdict = soak_lib.run(drawn, seconds, size)
+        played += 1
+        found += bool(verdict.findings)
+        click.echo(f"seed {drawn}: {dict(sorted(verdict.answers.items()))}")
+        for finding in verdict.findings:
+            click.echo(f"  {finding}")
+        if seed is not None or (
+            time.monotonic() > end if minutes else played >= seeds
+        ):
+            break
+    click.echo(f"{played} seeds played, {found} with findings")
+    sys.exit(1 if found else 0)
--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -40,6 +40,15 @@
     ended: list = attrs.field(factory=list)
     ends: int = 0
 
+    def crash(self) -> None:
+        """Ends all runs and forgets every epoch and number."""
+        for run in self.runs.values():
+            self.world.note_end(run)
+        self.runs.clear()
+        self.highest.clear()
+        self.ended.clear()
+        self.ends = self.epoch = 0
+
     def settle(self, now: float) -> None:
         """Ends what is due by the time."""
         for run_id, run in list(self.runs.items()):
--- a/acacialine/tools/zoneplace.py
+++ b/acacialine/tools/zoneplace.py
@@ -30,6 +30,9 @@
 READY_S = 30.0
 DEADLINE_MS = 3000
 CALLER_PATIENCE_S = 2.0  # beyond the deadline, for a busy machine
+CUT_OFF = 0  # the connection ended without an answer
+NO_ANSWER = -1  # nothing came within the caller's patience
+NOT_CONNECTED = -2  # nothing of the request was sent
 SETTINGS = """
 [dispatcher]
 name = {name}
@@ -76,8 +79,8 @@
     """One request of a caller and what came of it.
 
     Attributes:
-        status: 200 completed, 500 failed, another HTTP status, 0 cut off,
-            -1 without an answer in time.
+        status: 200 completed, 500 failed, another HTTP status, or one of
+            the constants below.
         version: Configuration that was the newest when it was sent.
     """
 
@@ -86,7 +89,7 @@
     prefix: str
     sent_at: float
     version: int
-    status: int = -1
+    status: int = NO_ANSWER
     ended_at: float = 0.0
 
 
@@ -309,8 +312,11 @@
                     headers={"Host": HOST, "Deadline-Ms": str(DEADLINE_MS)},
                     content=msgspec.json.encode(body),
                 )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            exchange.status = NOT_CONNECTED
+            return
         except (httpcore.NetworkError, httpcore.ProtocolError):
-            exchange.status = 0
+            exchange.status = CUT_OFF
             return
         except trio.TooSlowError:
             return
--- a/acacialine/tools/zonestandin.py
+++ b/acacialine/tools/zonestandin.py
@@ -23,6 +23,8 @@
 BEAT_S = 0.3  # between records of a backend server
 SETTLE_S = 0.005  # how exactly runs end
 LOOK_MAX_S = 2.0
+LATE_S = 2.0  # after which a late order is carried out
+SLOW_S = 0.4  # a hundred times as long as the platform's store
 
 
 @attrs.define(eq=False)
@@ -30,11 +32,14 @@
     """The platform's log, with keyed topics of one partition.
 
     Attributes:
-        fault: `down` answers 503, `silent` does not answer; empty for none.
+        fault: `down` answers 503, `silent` does not answer, `lossy` carries
+            writes out without an answer, `slow` answers late; empty for none.
+        first: First retained offset of each topic.
     """
 
     topics: dict[str, list[tuple[str, bytes]]] = attrs.field(factory=dict)
     fault: str = ""
+    first: dict[str, int] = attrs.field(factory=dict)
     calls: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -44,10 +49,16 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def forget(self) -> None:
+        """Drops all records but the newest of each key."""
+        self.first = {name: len(kept) for name, kept in self.topics.items()}
+
     async def __call__(self, scope, receive, send) -> None:
         """Serves one call."""
         body = await http.read_body(receive)
         self.calls += 1
+        if self.fault == "slow":
+            await trio.sleep(SLOW_S)
         if self.fault == "silent":
             await trio.sleep_forever()
         if self.fault == "down":
@@ -58,6 +69,8 @@
         match scope["path"]:
             case "/acacialine/log-append":
                 self._append(query["topic"], body)
+                if self.fault == "lossy":
+                    await trio.sleep_forever()
                 offset = len(records)
                 content = {"offset": offset - 1, "endOffset": offset}
                 await http.reply_json(send, 200, content)
@@ -65,6 +78,10 @@
                 await http.reply_json(send, 200, _newest(records))
             case "/acacialine/log-read":
                 start = int(query["from"])
+                if start < self.first.get(query["topic"], 0):
+                    content = {"first": self.first[query["topic"]]}
+                    await http.reply_json(send, 410, content)
+                    return
                 wait_s = int(query.get("waitMs", 0)) / 1000
                 with trio.move_on_after(wait_s):
                     while len(records) <= start:
@@ -103,8 +120,8 @@
     """One backend server over HTTP.
 
     Attributes:
-        fate: Returns the fate of an order: `lost answer`, `lost`, `unwell`
-            or empty; called once for each order.
+        fate: Returns the fate of an order: `lost answer`, `lost`, `unwell`,
+            `late` (carried out seconds later) or empty; called once for each.
         is_dark: Whether it answers nothing.
     """
 
@@ -166,7 +183,11 @@
         if fate == "unwell":
             await http.reply(send, 503)
             return
-        if fate != "lost":
+        if fate == "late":
+            trio.lowlevel.spawn_system_task(
+                self._carry_out_late, content, carry_out
+            )
+        elif fate != "lost":
             status, reason = carry_out(content)
         if fate:
             await trio.sleep_forever()
@@ -175,6 +196,17 @@
             answer["reason"] = reason
         await http.reply_json(send, status, answer)
 
+    async def _carry_out_late(self, content: dict, carry_out) -> None:
+        born = self._born
+        await trio.sleep(LATE_S)
+        if born == self._born:
+            carry_out(content)
+
+    def crash(self) -> None:
+        """Begins a new life that knows nothing of the one before."""
+        self.fake.crash()
+        self._born = max(self._born + 1, round(time.time() * 1000))
+
     def _start(self, content: dict) -> tuple[int, str]:
         key = serverclient.decode_task(content["task"])
         now = clock.now()
