Stops refuse before they leave; jobs that ended between two owners are answered

Now it refuses as not run for at least 0.25 s before its exit.

504 after a takeover: a successor that sees the end of a job's last run before its entry hands the job on marked all tasks done and answered nobody; the caller waited until its deadline. test_placer shows it.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -46,6 +46,7 @@
 SLOW_S = 5.0  # for which a late loop leaves the zone to others
 OTHER_ZONE_LINKS = 2  # to a zone whose placer is not known
 STOP_READY_S = 2.2  # the balancer needs two misses a second apart
+REFUSE_S = 0.25  # before the exit; longer than a cut that counts as lost
 STOP_MARGIN_S = 0.7  # before the process would be killed
 
 
@@ -650,13 +651,18 @@
             requests=len(self.intake.requests),
         )
         await trio.sleep(min(STOP_READY_S, grace_s / 2))
-        while clock.now() - begun < grace_s - STOP_MARGIN_S:
-            if not self.intake.requests:
-                break
-            if clock.now() - begun > grace_s / 2:
-                self.is_refusing = True
-            await trio.sleep(TICK_S)
+        await self._await_requests(begun + grace_s / 2)
+        # Callers may send on kept connections until the process is gone.
+        self.is_refusing = True
+        refusing_at = clock.now()
         await self.reader.leave()
+        await self._await_requests(begun + grace_s - STOP_MARGIN_S)
+        await trio.sleep(max(0.0, refusing_at + REFUSE_S - clock.now()))
+
+    async def _await_requests(self, until: float) -> None:
+        """Returns once no request is open, at the latest at a time."""
+        while self.intake.requests and clock.now() < until:
+            await trio.sleep(TICK_S)
 
 
 def new_dispatcher(settings: dispatchsettings.Settings) -> Dispatcher:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -147,6 +147,8 @@
             objective_ms=zonetables.milliseconds(job.objective_at - now),
             handovers=submission.handovers,
         )
+        if len(job.done) == job.step.count:
+            self._complete(job, now)  # it ended between two owners
 
     def _new_job(
         self,
@@ -509,8 +511,10 @@
     def count_done(self, job: zonetables.Job, index: int, now: float) -> None:
         """Counts a task as done; answers the job after its last one."""
         job.done.add(index)
-        if len(job.done) < job.step.count:
-            return
+        if len(job.done) == job.step.count:
+            self._complete(job, now)
+
+    def _complete(self, job: zonetables.Job, now: float) -> None:
         self._log(
             events.Event.ZONE_JOB_COMPLETED,
             job=job.id,
--- a/acacialine/tests/test_dispatchers.py
+++ b/acacialine/tests/test_dispatchers.py
@@ -1,5 +1,6 @@
 """Real dispatcher processes between callers and stand-ins of the platform."""
 
+import functools
 import math
 import pathlib
 import random
@@ -8,11 +9,14 @@
 import time
 import unittest
 
+import httpcore
 import trio
 
 from acacialine import clock
 from acacialine.tools import zoneplace
 
+LOSS_SLACK_S = 0.2  # the platform's lossSlackMs
+
 
 class DispatchersTest(unittest.TestCase):
     def play(self, scenario, servers=("a", "a", "a"), entries=None):
@@ -71,6 +75,42 @@
 
         self.play(scenario)
 
+    def test_a_planned_stop_answers_on_kept_connections_to_its_end(self):
+        # Soak 108 and hunt-0924-7: a request that came on a kept connection
+        # while the process left the directory was placed, then cut off.
+        async def scenario(place):
+            place.store.fault = "silent"  # leaving takes its time then
+            async with (
+                httpcore.AsyncConnectionPool() as pool,
+                trio.open_nursery() as nursery,
+            ):
+                for number in range(40):
+                    # The first open connections, the others come on these.
+                    if number == 20:
+                        await trio.sleep(1.0)
+                        place.processes["a2"].terminate()
+                        await trio.sleep(2.03)
+                    job = f"{number + 1:016x}"
+                    send = functools.partial(
+                        place.submit, "a2", job, 1, 0.25, pool=pool
+                    )
+                    nursery.start_soon(send)
+                    await trio.sleep(0.0 if number < 20 else 0.05)
+            self.assertEqual(place.processes["a2"].wait(), 0)
+            cut_off = [
+                e
+                for e in place.exchanges
+                if e.status == zoneplace.CUT_OFF
+                and e.ended_at - e.sent_at > LOSS_SLACK_S
+            ]
+            self.assertEqual(cut_off, [])
+            self.assertLessEqual(
+                set(place.answers),
+                {200, 429, 503, zoneplace.CUT_OFF, zoneplace.NOT_CONNECTED},
+            )
+
+        self.play(scenario)
+
     def test_a_killed_placer_is_replaced(self):
         async def scenario(place):
             placer = place.placer("a")
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -100,6 +100,18 @@
         # After its last lease there it may start anywhere.
         self.assertEqual(len(build.starts(self.submit(placer, 3.2))), 2)
 
+    def test_a_job_that_ended_between_two_owners_is_answered(self):
+        # Its last end was listed to the successor before its entry handed
+        # the job on; nobody answered it, and its caller got 504.
+        earlier = build.placer()
+        runs = build.starts(self.submit(earlier))
+        successor = build.placer()
+        ended = [self.done(1, runs[0]), self.done(2, runs[1])]
+        server = successor.tables.servers[runs[0].server.id]
+        self.look(successor, server, 0.2, ended=ended)
+        (answer,) = build.answers(self.submit(successor, 0.3, handovers=1))
+        self.assertIs(answer.verdict, zonetables.Verdict.COMPLETED)
+
     def test_an_explicit_refusal_of_the_start_allows_not_run(self):
         placer = build.placer()
         runs = build.starts(self.submit(placer, left_s=0.5))
--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -237,6 +237,8 @@
         match fault.kind:
             case Kind.SERVER_CRASH:
                 server.crash()
+                # A process takes its connections with it.
+                self.place.server_routes[fault.target].reset_all()
             case Kind.SERVER_DRAIN:
                 server.state = "draining"
                 server.announce()
