A lost job waits for the last lease that an unknown successor may renew

Now runs that nobody has claimed within 0.25 s are not renewed, and a job without a successor in sight waits 2.45 s, the longest such chain.

--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -271,7 +271,8 @@
     def _hand_over(self, request: Request, now: float) -> None:
         own = self.targets.get(self.zone)
         lapsed = (
-            request.lost_at is None or now - request.lost_at > zoneruns.LAPSE_S
+            request.lost_at is None
+            or now - request.lost_at > zoneruns.UNOWNED_S
         )
         if lapsed:
             if own is not None:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -242,7 +242,7 @@
 
     def note_foreign(self, job_id: str, zone: str, now: float) -> None:
         """Another zone runs a job on; it must not start here meanwhile."""
-        until = now + RESUMED_S + zoneruns.LAPSE_S
+        until = now + RESUMED_S + zoneruns.UNOWNED_S
         self.tables.foreign_jobs.pop(job_id, None)
         self.tables.foreign_jobs[job_id] = zonetables.ForeignJob(zone, until)
 
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -14,6 +14,7 @@
 from acacialine import clock
 from acacialine import leases
 from acacialine import orders
+from acacialine import zoneruns
 from acacialine import zonetables
 
 CONNECT_TIMEOUT_S = 0.25  # in the zone a connection takes under 1 ms
@@ -160,8 +161,7 @@
             "fencingToken": self.epoch,
             "ackedThrough": server.acknowledged,
         }
-        # Runs of an earlier owner keep their lease while they are listed.
-        if server.clock_at and server.runs:
+        if server.clock_at and zoneruns.needs_lease(server, now):
             lease = leases.new_lease(server, self.lease_s, now)
             server.lease_until = max(server.lease_until, lease.until)
             content["deadlineMs"] = lease.deadline_ms
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -75,13 +75,18 @@
     def test_a_job_of_a_lost_placer_waits_before_another_zone(self):
         # Its runs may hold leases for a second.
         self.targets(0.0, target())
-        self.receive()
+        self.receive(left_s=5.0)
         other = target("p2", "zone-b", free=20, at=0.9)
         self.targets(0.3, other)
         self.assertEqual(self.tick(0.9), [])
-        other = target("p2", "zone-b", free=20, at=1.4)
-        self.targets(1.4, other)
-        (order,) = self.tick(1.45)
+        # Baekdu rolling-storm 762286807343: a successor that this entry does
+        # not know may renew them just before they lapse.
+        other = target("p2", "zone-b", free=20, at=2.6)
+        self.targets(2.6, other)
+        self.assertEqual(self.tick(2.6), [])
+        other = target("p2", "zone-b", free=20, at=2.8)
+        self.targets(2.8, other)
+        (order,) = self.tick(2.8)
         self.assertEqual(order.target.peer_id, "p2")
         self.assertEqual(order.submission.handovers, 1)
 
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -3,6 +3,7 @@
 import unittest
 
 from acacialine import orders
+from acacialine import zoneruns
 from acacialine import zonetables
 from acacialine.tests import zonebuilders as build
 
@@ -98,7 +99,8 @@
         self.assertIs(answer.verdict, zonetables.Verdict.ELSEWHERE)
         self.assertEqual(answer.reason, "zone-b")
         # After its last lease there it may start anywhere.
-        self.assertEqual(len(build.starts(self.submit(placer, 3.2))), 2)
+        self.assertEqual(build.starts(self.submit(placer, 4.4)), [])
+        self.assertEqual(len(build.starts(self.submit(placer, 4.5))), 2)
 
     def test_a_job_that_ended_between_two_owners_is_answered(self):
         # Its last end was listed to the successor before its entry handed
@@ -112,6 +114,20 @@
         (answer,) = build.answers(self.submit(successor, 0.3, handovers=1))
         self.assertIs(answer.verdict, zonetables.Verdict.COMPLETED)
 
+    def test_runs_that_nobody_claims_keep_no_lease(self):
+        # Baekdu rolling-storm 762286807343: their lease was renewed until
+        # the stop, while their job had started in another zone.
+        earlier = build.placer()
+        run, _ = build.starts(self.submit(earlier))
+        successor = build.placer()
+        server = successor.tables.servers[run.server.id]
+        self.look(successor, server, 0.2, [orders.RunningRow(run.key, 1, 50)])
+        self.assertTrue(zoneruns.needs_lease(server, 0.3))
+        self.assertFalse(zoneruns.needs_lease(server, 0.5))
+        placer = build.placer()
+        run, _ = build.starts(self.submit(placer))
+        self.assertTrue(zoneruns.needs_lease(run.server, 0.5))
+
     def test_an_explicit_refusal_of_the_start_allows_not_run(self):
         placer = build.placer()
         runs = build.starts(self.submit(placer, left_s=0.5))
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -16,6 +16,9 @@
 
 ADOPTION_S = 0.25  # for entries to claim runs of an earlier owner
 LAPSE_S = 1.1  # longest lease on the slowest clock, with a margin
+# Until a run of a lost owner has ended for certain, though a successor may
+# list and renew it at the last moment and then lose its backend server.
+UNOWNED_S = LAPSE_S + ADOPTION_S + LAPSE_S
 STOP_REPEAT_S = 0.15  # a stop without confirmation is sent again
 STOP_ALLOWANCE_S = 0.06  # a backend server takes up to 50 ms for a stop
 STALLED_S = 0.25  # without progress beyond the expected time
@@ -435,6 +438,14 @@
         self.emit(orders_lib.LogDecision(event, fields))
 
 
+def needs_lease(server: zonetables.Server, now: float) -> bool:
+    """Returns whether any run is to go on, or may still be claimed."""
+    return any(
+        run.job is not None or now - run.sent_at <= ADOPTION_S
+        for run in server.runs.values()
+    )
+
+
 def has_unclaimed(server: zonetables.Server) -> bool:
     """Returns whether runs of unknown demand occupy a server."""
     return any(
