--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -15,7 +15,7 @@
 SILENT_S = 0.6  # without a heartbeat before a peer counts as dead
 HEARD_OF_S = 0.35  # two heartbeats of the one who hears the placer
 FORGOTTEN_S = 10.0  # of silence: removed for good, or cut off for long
-START_WAIT_S = 1.2  # for heartbeats of others before the first claim
+START_WAIT_S = 0.7  # for entries that start together to hear each other
 ISOLATED_WAIT_S = 2.5  # before an entry that reaches nobody at all claims
 FENCED_ALONE_S = 10.0  # for such an entry, once somebody has fenced it
 CLAIM_KEPT_S = 3.0  # age up to which a claim in the store counts
