After a pause a placer waits for word of its entries before it starts tasks

Ruled out: a second owner of the same server (one epoch in that zone).

Now jobs that it had before the pause start nothing for 0.5 s, in which lost links show and their jobs end.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -21,6 +21,7 @@
 # which comes 1.3 s after the 504 and joins it.
 RESUMED_S = 2.0
 KEEP_WAIT_S = 0.3  # after the deadline, for its entry to ask for that
+RESUME_S = 0.5  # for lost links to show and orphans to end
 CHECK_S = 0.01  # between searches of all runs for what is over time
 ESTIMATE_MIN_S = 0.005
 SLOWNESS_STEP = 0.2  # servers within one step count as equally fast
@@ -323,6 +324,17 @@
         self.tables.counters["abandoned"] += 1
         self._end(job, None, "deadline", now)
 
+    def resume(self, now: float) -> None:
+        """After a pause of this process nothing that it knew is certain.
+
+        Servers are looked at again before any start, and jobs wait until
+        their entries were heard or given up.
+        """
+        for server in self.tables.servers.values():
+            server.listed = False
+        for job in self.tables.jobs.values():
+            job.not_before = now + RESUME_S
+
     # Ticks
 
     def tick(self, now: float) -> None:
@@ -356,7 +368,9 @@
         waiting = [
             j
             for j in self.tables.jobs.values()
-            if j.waiting and (are_known or now >= j.hold_until)
+            if j.waiting
+            and now >= j.not_before
+            and (are_known or now >= j.hold_until)
         ]
         if not waiting:
             return
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -142,8 +142,7 @@
 
     def look_again(self) -> None:
         """After a pause, looks at every server before it starts anything."""
-        for server in self.placer.tables.servers.values():
-            server.listed = False
+        self.placer.resume(clock.now())
         for task in self._tasks.values():
             task.wake.set()
 
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -114,6 +114,30 @@
         (answer,) = build.answers(self.submit(successor, 0.3, handovers=1))
         self.assertIs(answer.verdict, zonetables.Verdict.COMPLETED)
 
+    def test_after_a_pause_jobs_wait_for_word_of_their_entries(self):
+        # Ticketworks owners-die 315904091606: an entry had given the job of
+        # a frozen placer to another zone; it went on here after the thaw.
+        placer = build.placer()
+        runs = build.starts(self.submit(placer))
+        self.confirm(placer, runs)
+        placer.resume(3.0)
+        found = self.look(placer, runs[0].server, 3.01)
+        self.assertEqual(build.starts(found), [])
+        placer.drop_origin("entry", True, 3.05)
+        for now in (3.1, 3.3, 3.4, 3.6, 4.0):
+            found = self.look(placer, runs[0].server, now)
+            self.assertEqual(build.starts(found), [])
+        self.assertEqual(placer.tables.jobs, {})
+
+    def test_after_a_pause_jobs_of_live_entries_go_on(self):
+        placer = build.placer()
+        runs = build.starts(self.submit(placer, left_s=9.0))
+        self.confirm(placer, runs)
+        placer.resume(3.0)
+        self.look(placer, runs[0].server, 3.01)
+        found = self.look(placer, runs[0].server, 3.6)
+        self.assertEqual([r.number for r in build.starts(found)], [2, 2])
+
     def test_runs_that_nobody_claims_keep_no_lease(self):
         # Baekdu rolling-storm 762286807343: their lease was renewed until
         # the stop, while their job had started in another zone.
--- a/acacialine/tests/test_placer_properties.py
+++ b/acacialine/tests/test_placer_properties.py
@@ -51,8 +51,7 @@
         if self.is_closed or now < self.paused_until:
             return
         if now - self.last_tick > 0.4:
-            for server in self.placer.tables.servers.values():
-                server.listed = False
+            self.placer.resume(now)
         self.last_tick = now
         for server in list(self.placer.tables.servers.values()):
             if now < self.cut_off.get(server.id, 0.0):
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -211,6 +211,8 @@
         deadline_at: When they stop waiting.
         hold_until: No task starts before this time, because an earlier owner
             may still run it.
+        not_before: No task starts before this time, because its entry may
+            have given it to another placer while this one stood still.
         waiting: Indices of tasks that are to be started.
         orphaned_at: When its last origin was lost.
         kept_until: Until when it runs on after its deadline.
@@ -228,6 +230,7 @@
     deadline_at: float
     estimate_s: float
     hold_until: float = 0.0
+    not_before: float = 0.0
     waiting: collections.deque = attrs.field(factory=collections.deque)
     done: set[int] = attrs.field(factory=set)
     runs: dict[int, Run] = attrs.field(factory=dict)
