--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -14,7 +14,7 @@
 
 from acacialine import asgi
 from acacialine import clock
-from acacialine import directory as directory_lib
+from acacialine import dialling as dialling_lib
 from acacialine import dispatchsettings
 from acacialine import errors
 from acacialine import eventlog
@@ -30,7 +30,6 @@
 from acacialine import placerhost
 from acacialine import routes
 from acacialine import storereader
-from acacialine import topology
 from acacialine.platform import ingress
 
 TICK_S = 0.02  # while requests are open
@@ -38,13 +37,10 @@
 COSTLY_TICK_S = 0.001  # after which the loop turns to others first
 CALLER_IDLE_S = 60.0
 PAUSE_S = 0.4  # a gap between ticks after which this process was paused
-DIAL_S = 0.3
 HOUSEKEEPING_S = 0.5
 LAG_SMOOTHING = 0.4
 LAG_LIMIT_S = 0.05  # average lateness; an idle loop is under 2 ms late
-FAR_SILENT_S = 1.6  # for entries that beat less often; four heartbeats
 SLOW_S = 5.0  # for which a late loop leaves the zone to others
-OTHER_ZONE_LINKS = 2  # to a zone whose placer is not known
 STOP_READY_S = 2.2  # the balancer needs two misses a second apart
 REFUSE_S = 0.25  # before the exit; longer than a cut that counts as lost
 STOP_MARGIN_S = 0.7  # before the process would be killed
@@ -58,6 +54,7 @@
         intake: Requests of callers.
         host: The placer while this entry owns its zone.
         reader: Follows the store.
+        dialling: Keeps the links to other entries.
         is_refusing: Whether a stop is so far that new requests could be cut
             off; they are refused as not run.
     """
@@ -73,16 +70,15 @@
     hub: peering.Hub = attrs.field(init=False)
     host: placerhost.PlacerHost | None = None
     reader: storereader.StoreReader = attrs.field(init=False)
+    dialling: dialling_lib.Dialling = attrs.field(init=False)
     meters: meters_lib.Meters = attrs.field(factory=meters_lib.Meters)
     _nursery: trio.Nursery = attrs.field(init=False)
     _wake: trio.Event = attrs.field(factory=trio.Event)
     _stop: trio.Event = attrs.field(factory=trio.Event)
     _random: random.Random = attrs.field(factory=random.Random)
     _last_tick: float = 0.0
-    _heard_of: dict[str, str] = attrs.field(factory=dict)
     _lag_s: float = 0.0
     _slow_until: float = 0.0
-    _is_senior: bool = True
 
     def __attrs_post_init__(self):
         now = clock.now()
@@ -105,6 +101,7 @@
             self._on_link_change,
         )
         self.reader = storereader.StoreReader(self)
+        self.dialling = dialling_lib.Dialling(self)
 
     @property
     def my_id(self) -> str:
@@ -181,9 +178,8 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await self._listen(nursery)
-            self._dial_known()
             nursery.start_soon(self._run_ticks)
-            nursery.start_soon(self._run_dialling)
+            nursery.start_soon(self.dialling.run, nursery)
             nursery.start_soon(self._run_housekeeping)
             self.reader.start(nursery)
             self.log(events.Event.DISPATCHER_STARTED, zone=self.zone)
@@ -369,9 +365,9 @@
 
     def _hear(self, state: messages.ZoneState) -> None:
         """Learns who is there, also from others and without the store."""
-        self._heard_of[state.sender] = state.zone
+        self.dialling.hear_of(state.sender, state.zone)
         if state.placer_id:
-            self._heard_of[state.placer_id] = state.zone
+            self.dialling.hear_of(state.placer_id, state.zone)
         if state.zone != self.zone:
             self.ownership.connected_at = clock.now()
             return
@@ -470,120 +466,6 @@
     def _on_link_change(self, link: peering.PeerLink) -> None:
         self.wake()
 
-    async def _run_dialling(self) -> None:
-        while True:
-            self._dial_known()
-            await trio.sleep(DIAL_S)
-
-    def _dial_known(self) -> None:
-        """Keeps links to the own zone and to the placers of the others."""
-        now = clock.now()
-        chosen = topology.choose(
-            topology.rank(
-                self.settings.dispatcher.weight, self.started, self.my_id
-            ),
-            self._neighbours(now),
-        )
-        self._is_senior = chosen.is_candidate
-        self.ownership.silent_s = (
-            ownership_lib.SILENT_S if self._is_senior else FAR_SILENT_S
-        )
-        wanted = dict.fromkeys(chosen.addresses, self.zone)
-        wanted.update(self._own_placers(now))
-        wanted.update(self._other_placers())
-        if len(wanted) < 2:
-            for address in self.settings.dispatcher.seeds:
-                wanted.setdefault(address, "")
-        wanted.pop(self.settings.dispatcher.dialled_address, None)
-        for address, zone in wanted.items():
-            is_near = zone == self.zone and self._is_senior
-            self.hub.dial(address, zone, is_near, self._nursery)
-        for address, link in list(self.hub.peers.items()):
-            if address not in wanted and not self._is_in_use(link):
-                self.hub.drop(address)
-
-    def _neighbours(self, now: float) -> list[topology.Neighbour]:
-        """Returns the other entries of the own zone, as far as known."""
-        found: dict[tuple[str, int], topology.Neighbour] = {}
-        for record in self.reader.directory.records.values():
-            if record.zone == self.zone and record.id != self.my_id:
-                found[record.peer_address] = self._neighbour(
-                    record.id, record.weight, record.started, now
-                )
-        for peer_id in list(self._heard_of):
-            if self._heard_of[peer_id] != self.zone or peer_id == self.my_id:
-                continue
-            address = ids.parse_incarnation(peer_id).address
-            if address in found:
-                continue
-            member = self.ownership.members.get(peer_id)
-            weight, started = (
-                (member.weight, member.started) if member else (1.0, now)
-            )
-            link = self.hub.peers.get(address)
-            if link is not None and link.is_refused:
-                del self._heard_of[peer_id]
-            else:
-                found[address] = self._neighbour(peer_id, weight, started, now)
-        me = self.settings.dispatcher.dialled_address
-        found.pop(me, None)
-        return list(found.values())
-
-    def _neighbour(
-        self, peer_id: str, weight: float, started: float, now: float
-    ) -> topology.Neighbour:
-        address = ids.parse_incarnation(peer_id).address
-        link = self.hub.peers.get(address)
-        is_down = link is not None and link.is_down(now)
-        return topology.Neighbour(peer_id, address, weight, started, is_down)
-
-    def _own_placers(self, now: float) -> dict[tuple[str, int], str]:
-        """Returns where the placer of the own zone is said to be."""
-        names = {
-            r.id
-            for r in self.reader.directory.records.values()
-            if r.zone == self.zone and r.claim
-        }
-        for link in self.hub.peers.values():
-            if link.is_open and link.state.zone == self.zone:
-                names.add(link.state.placer_id)
-        names -= {"", self.my_id}
-        wanted = {}
-        for name in names:
-            address = ids.parse_incarnation(name).address
-            link = self.hub.peers.get(address)
-            if link is None or not link.is_down(now):
-                wanted[address] = self.zone
-        return wanted
-
-    def _other_placers(self) -> dict[tuple[str, int], str]:
-        """Returns where the placers of the other zones are, or may be."""
-        wanted: dict[tuple[str, int], str] = {}
-        others: dict[str, list[directory_lib.EntryRecord]] = {}
-        for record in self.reader.directory.records.values():
-            if record.zone != self.zone:
-                others.setdefault(record.zone, []).append(record)
-        for zone, found in others.items():
-            found.sort(key=lambda r: (-r.claim, r.id))
-            if found[0].claim:
-                found = [r for r in found if r.claim]
-            for record in found[:OTHER_ZONE_LINKS]:
-                wanted[record.peer_address] = zone
-        return wanted
-
-    def _is_in_use(self, link: peering.PeerLink) -> bool:
-        """Returns whether a link stays that is not wanted otherwise.
-
-        Those are links to the placer of the own zone, whoever it is, and to
-        where open requests are.
-        """
-        if link.is_open and link.state.zone == self.zone and link.state.claim:
-            return True
-        return any(
-            r.target is not None and r.target.peer_id == link.peer_id
-            for r in self.intake.requests.values()
-        )
-
     async def _run_housekeeping(self) -> None:
         """Keeps the gauges and writes what log readers did not take."""
         while True:
@@ -604,7 +486,9 @@
         if self._lag_s > LAG_LIMIT_S:
             self._slow_until = now + SLOW_S
         self.ownership.is_candidate = (
-            not self.is_stopping and now >= self._slow_until and self._is_senior
+            not self.is_stopping
+            and now >= self._slow_until
+            and self.dialling.is_senior
         )
 
     # Settings
