Large installations read and write the store less

Each entry wrote its record each 1.5 s and read those of 42 others, and 31 entries that can't become the placer read all backend servers. Now entries that are no candidates read no servers, and with more than 12 entries those that own nothing renew less often (every 5.4 s with 43). Up to 12 entries nothing changes.

--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -3,6 +3,8 @@
 import attrs
 import msgspec
 
+RENEWING_ENTRIES = 12  # with more of them each renews less often
+
 
 @attrs.frozen
 class EntryRecord:
@@ -64,6 +66,15 @@
         return [key for key, at in self.renewed_at.items() if now - at > age_s]
 
 
+def renewal_s(poll_s: float, entries: int) -> float:
+    """Returns the pause between two renewals of one entry's record.
+
+    Every entry reads every renewal, so that in a large installation each one
+    renews less often.
+    """
+    return poll_s * max(1.0, entries / RENEWING_ENTRIES)
+
+
 def encode(record: EntryRecord) -> bytes:
     """Encodes a record for the store."""
     return msgspec.json.encode(record)
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -20,8 +20,10 @@
 
 RETRY_S = 0.2
 RETRY_MAX_S = 1.0
+SENIORITY_POLL_S = 0.3
 FOLLOWER_POLL_FACTOR = 4  # entries that are no placer read servers less often
 ENTRY_EXPIRED_S = 20.0  # without renewal before a record is removed
+RENEWAL_MAX_S = 6.0  # three of these fit into the expiry
 LEAVE_S = 0.3  # for the last write of a process that stops
 SERVER_KEPT_S = 2.5  # after the store's return, for entries that lapsed
 
@@ -179,6 +181,7 @@
         self._replace_servers(newest.records)
         while True:
             self._regained()
+            await self._await_seniority()
             factor = 1 if self._dispatcher.host else FOLLOWER_POLL_FACTOR
             await trio.sleep(poll_s * factor)
             page = await self._store.read(store_lib.SERVERS_TOPIC, offset, 0.0)
@@ -188,6 +191,14 @@
             if self._drop_lapsed() or page.records:
                 self._servers_changed()
 
+    async def _await_seniority(self) -> None:
+        """Returns once this entry may have to place tasks.
+
+        The others know the servers as they were when they last could.
+        """
+        while not self._dispatcher.dialling.is_senior:
+            await trio.sleep(SENIORITY_POLL_S)
+
     def _replace_servers(self, found: list[store_lib.KeyedRecord]) -> None:
         now = clock.now()
         present = {r.key for r in found if r.value}
@@ -233,6 +244,7 @@
     async def _read_directory(self) -> None:
         poll_s = self._dispatcher.settings.store.directory_poll_ms / 1000
         await self._write_record()
+        written_at = clock.now()
         newest = await self._directory_store.newest(store_lib.ENTRIES_TOPIC)
         offset = newest.end
         self._apply_directory(newest.records)
@@ -241,7 +253,9 @@
             self._claim_event = trio.Event()
             with trio.move_on_after(poll_s):
                 await self._claim_event.wait()
-            await self._write_record()
+            if self._is_renewal_due(clock.now() - written_at):
+                await self._write_record()
+                written_at = clock.now()
             page = await self._directory_store.read(
                 store_lib.ENTRIES_TOPIC, offset, 0.0
             )
@@ -249,6 +263,19 @@
             self._apply_directory(page.records)
             await self._remove_expired()
 
+    def _is_renewal_due(self, age_s: float) -> bool:
+        """Returns whether the own record is to be written again.
+
+        Claims are news, and an owner's record is believed only while it is
+        fresh; all others may wait for each other.
+        """
+        if self._claim_event.is_set() or self._dispatcher.ownership.epoch:
+            return True
+        poll_s = self._dispatcher.settings.store.directory_poll_ms / 1000
+        entries = len(self.directory.records)
+        renewal_s = min(directory_lib.renewal_s(poll_s, entries), RENEWAL_MAX_S)
+        return age_s >= renewal_s - poll_s / 2
+
     async def _write_record(self) -> None:
         dispatcher = self._dispatcher
         host, port = dispatcher.settings.dispatcher.dialled_address
