--- a/acacialine/explain.py
+++ b/acacialine/explain.py
@@ -26,7 +26,9 @@
     "zone_run_not_started": "{server} refused a start ({outcome})",
     "zone_run_ended": "a run on {server} ended {how}",
     "request_target_lost": "its placer {placer} was lost",
-    "zone_job_accepted": "",
+    "request_redirected": "zone {zone} still ran it from an earlier try",
+    "zone_job_kept": "it ran on after its deadline",
+    "zone_job_cancelled": "its runs were stopped: {reason}",
 }
 
 
@@ -77,7 +79,7 @@
     for line in lines:
         if line.event in _CAUSES:
             cause = _fill(_CAUSES[line.event], line)
-        elif _TROUBLES.get(line.event):
+        elif line.event in _TROUBLES:
             troubles.append(_fill(_TROUBLES[line.event], line))
     return Story(job_id, lines, cause, troubles)
 
--- a/acacialine/meters.py
+++ b/acacialine/meters.py
@@ -34,6 +34,11 @@
         self.runs = self._counter(
             "acacialine_runs_ended", "Runs by how they ended.", ("how",)
         )
+        self.store_calls = self._counter(
+            "acacialine_store_calls",
+            "Calls to the platform's store.",
+            ("call", "outcome"),
+        )
         self.loop_lag_s = self._histogram(
             "acacialine_loop_lag_seconds", "Lateness of the loop.", ()
         )
--- a/acacialine/platform/store.py
+++ b/acacialine/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store, a partitioned log over HTTP."""
 
 import base64
+import collections.abc
 import struct
 
 import attrs
@@ -51,9 +52,15 @@
 
 @attrs.define(eq=False)
 class Store:
-    """Calls of the store that the product needs."""
+    """Calls of the store that the product needs.
+
+    Attributes:
+        on_call: Called after each call with its name and its outcome: `ok`,
+            `status N`, `not sent` or `no answer`.
+    """
 
     _channels: channels_lib.Channels
+    on_call: collections.abc.Callable[[str, str], None]
 
     async def read(self, topic: str, offset: int, wait_s: float) -> Page:
         """Reads records from an offset on; waits for the first one.
@@ -112,12 +119,17 @@
     async def _call(
         self, method: str, target: str, body: bytes, timeout_s: float
     ) -> bytes:
+        name = target.partition("?")[0].rpartition("/")[2]
         try:
             reply = await self._channels.call(method, target, body, timeout_s)
         except channels_lib.NotSentError as error:
+            self.on_call(name, "not sent")
             raise errors.PlatformError(str(error)) from error
         except channels_lib.NoAnswerError as error:
+            self.on_call(name, "no answer")
             raise errors.PlatformError(str(error), True) from error
+        ok = reply.status == 200
+        self.on_call(name, "ok" if ok else f"status {reply.status}")
         if reply.status == 410:
             raise OffsetGoneError("records are not retained any more")
         if reply.status != 200:
@@ -153,6 +165,10 @@
     return KeyedRecord(key, content[end:])
 
 
-def new_store(address: tuple[str, int]) -> Store:
-    """Creates a client of the store at an address."""
-    return Store(channels_lib.Channels(address, CONNECT_TIMEOUT_S))
+def new_store(
+    address: tuple[str, int],
+    on_call: collections.abc.Callable[[str, str], None],
+) -> Store:
+    """Creates a client of the store at an address; see `Store.on_call`."""
+    channels = channels_lib.Channels(address, CONNECT_TIMEOUT_S)
+    return Store(channels, on_call)
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -58,9 +58,13 @@
 
     def move(self, address: tuple[str, int]) -> None:
         """Uses the store at another address from the next call on."""
-        self._store = store_lib.new_store(address)
-        self._config_store = store_lib.new_store(address)
-        self._directory_store = store_lib.new_store(address)
+        count = self._count_call
+        self._store = store_lib.new_store(address, count)
+        self._config_store = store_lib.new_store(address, count)
+        self._directory_store = store_lib.new_store(address, count)
+
+    def _count_call(self, name: str, outcome: str) -> None:
+        self._dispatcher.meters.store_calls.labels(name, outcome).inc()
 
     def start(self, nursery: trio.Nursery) -> None:
         """Starts the readers."""
--- a/acacialine/tests/test_dispatchers.py
+++ b/acacialine/tests/test_dispatchers.py
@@ -48,6 +48,10 @@
             self.assertGreater(place.answers[200], 15)
             found = await place.get(place.ports["a1"].metrics, "/metrics")
             self.assertIn(b"acacialine_answers_total", found.body)
+            self.assertIn(
+                b'acacialine_store_calls_total{call="log-read",outcome="ok"}',
+                found.body,
+            )
 
         self.play(scenario)
 
