--- a/acacialine/tools/commands.py
+++ b/acacialine/tools/commands.py
@@ -219,7 +219,8 @@
     type=click.IntRange(4, 300),
     help="Entries, in two zones.",
 )
-def soak(seed, seeds, minutes, seconds, processes) -> None:
+@click.option("--mutant", default="", help="Breaks a rule, see SOAK.md.")
+def soak(seed, seeds, minutes, seconds, processes, mutant) -> None:
     """Plays real dispatchers under random faults; exits 1 on a finding."""
     import random
     import sys
@@ -227,7 +228,7 @@
 
     from acacialine.tools import soak as soak_lib
 
-    size = soak_lib.new_size(processes)
+    size = soak_lib.new_size(processes, mutant)
     end = time.monotonic() + (minutes or 0) * 60
     played = found = 0
     while True:
--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -48,9 +48,10 @@
     servers: int = 3  # in each zone
     jobs_per_s: float = 12.0
     faults_per_s: float = 0.8
+    mutant: str = ""  # rule that the entries break
 
 
-def new_size(processes: int) -> Size:
+def new_size(processes: int, mutant: str = "") -> Size:
     """Returns the size with as many entries; the load grows with them."""
     zones = 2
     entries = max(2, processes // zones)
@@ -60,6 +61,7 @@
         servers=3 * max(1, entries // 4),
         jobs_per_s=12.0 * max(1, entries // 4),
         faults_per_s=0.8 * max(1, entries // 4),
+        mutant=mutant,
     )
 
 
@@ -370,7 +372,7 @@
         seed, seconds, entries, server_zones, size.faults_per_s
     )
     async with trio.open_nursery() as nursery:
-        place = zoneplace.Place(nursery, folder)
+        place = zoneplace.Place(nursery, folder, mutant=size.mutant)
         soak = Soak(place, plan, size)
         try:
             await place.start(servers, entries)
--- a/acacialine/tools/zoneplace.py
+++ b/acacialine/tools/zoneplace.py
@@ -102,6 +102,7 @@
         entries: Zone of each entry, by name.
         exchanges: All requests of callers so far.
         published: When each version was published.
+        mutant: Name of a rule that entries break, see `mutants`.
     """
 
     nursery: trio.Nursery
@@ -115,6 +116,7 @@
     exchanges: list[Exchange] = attrs.field(factory=list)
     rejected: set[str] = attrs.field(factory=set)
     published: dict[int, float] = attrs.field(factory=dict)
+    mutant: str = ""
     version: int = 0
     target_latency_ms: int = 1000
     peer_routes: dict[str, faultproxy.Route] = attrs.field(factory=dict)
@@ -222,11 +224,17 @@
         path.write_text(text)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "acacialine", "dispatcher", "-c", path],
+                [*self._program(), "dispatcher", "-c", path],
                 stdout=log,
                 stderr=log,
             )
 
+    def _program(self) -> list[str]:
+        if self.mutant:
+            module = "acacialine.tools.mutants"
+            return [sys.executable, "-m", module, self.mutant]
+        return [sys.executable, "-m", "acacialine"]
+
     def is_running(self, name: str) -> bool:
         """Returns whether the process of an entry has not ended."""
         return self.processes[name].poll() is None
