--- a/acacialine/tools/zonestandin.py
+++ b/acacialine/tools/zonestandin.py
@@ -135,6 +135,7 @@
     starts_at: list[float] = attrs.field(factory=list)
     _born: int = attrs.field(factory=lambda: round(time.time() * 1000))
     _seq: int = 0
+    _life_of: dict[object, int] = attrs.field(factory=dict)
 
     async def beat(self) -> None:
         """Writes its record again and again."""
@@ -164,8 +165,10 @@
 
     async def __call__(self, scope, receive, send) -> None:
         """Serves one order."""
+        # A connection reaches the life that accepted it and no other.
+        life = self._life_of.setdefault(scope.get("client"), self._born)
         body = await http.read_body(receive)
-        if self.is_dark:
+        if self.is_dark or life != self._born:
             await trio.sleep_forever()
         content = msgspec.json.decode(body)
         match scope["path"]:
