--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -25,7 +25,9 @@
 RETRANSMIT_S = 1.3  # after no answer, until a caller sends the job again
 RETRIES_MAX = 3
 SETTLE_S = 4.0  # after the last fault, until every entry serves
-GRACE_S = 4.0
+GRACE_S = 6.0
+# Who is still at work then may be cut off, by the platform's rules.
+LAST_SHARE = 5 / 6
 EXIT_S = 0.2  # before the exit of a stopped entry, in which cuts may happen
 LEAVE_SHARE = 0.05  # of callers who go before their answer
 FLAKY = (("", "lost", "lost answer", "late", "unwell"), (80, 5, 5, 5, 5))
@@ -101,7 +103,7 @@
     findings: list[str] = attrs.field(factory=list)
     _random: random.Random = attrs.field(init=False)
     _dropped: dict[str, tuple[int, float]] = attrs.field(factory=dict)
-    _exits: dict[str, list[float]] = attrs.field(factory=dict)
+    _stops: dict[str, list[Span]] = attrs.field(factory=dict)
     _drains: list[tuple[str, float]] = attrs.field(factory=list)
     _held: collections.Counter = attrs.field(factory=collections.Counter)
 
@@ -212,13 +214,15 @@
         self.stopping.discard(name)
 
     async def _await_exit(self, name: str, process) -> None:
+        began = clock.now()
         with trio.move_on_after(GRACE_S):
             while process.poll() is None:
                 await trio.sleep(0.01)
         if process.poll() is None:
             process.kill()
             return
-        self._exits.setdefault(name, []).append(clock.now())
+        span = Span(Kind.STOP, name, began, clock.now())
+        self._stops.setdefault(name, []).append(span)
 
     async def _hold(self, route, fault: soakplan.Fault) -> None:
         """Holds bytes back; a later hold of the same route replaces it."""
@@ -343,10 +347,12 @@
     def _is_planned_cut(self, exchange: zoneplace.Exchange) -> bool:
         """Whether a request was cut off by nothing but a planned stop."""
         stops = [
-            at
-            for at in self._exits.get(exchange.entry, ())
-            if exchange.sent_at < at - EXIT_S and exchange.ended_at < at + 1.0
-            if exchange.sent_at > at - GRACE_S
+            stop
+            for stop in self._stops.get(exchange.entry, ())
+            if exchange.sent_at < stop.ended - EXIT_S
+            and exchange.sent_at > stop.ended - GRACE_S
+            and exchange.ended_at < stop.ended + 1.0
+            and stop.ended - stop.began < GRACE_S * LAST_SHARE
         ]
         others = [
             s
@@ -372,7 +378,9 @@
         seed, seconds, entries, server_zones, size.faults_per_s
     )
     async with trio.open_nursery() as nursery:
-        place = zoneplace.Place(nursery, folder, mutant=size.mutant)
+        place = zoneplace.Place(
+            nursery, folder, mutant=size.mutant, grace_s=GRACE_S
+        )
         soak = Soak(place, plan, size)
         try:
             await place.start(servers, entries)
--- a/acacialine/tools/zoneplace.py
+++ b/acacialine/tools/zoneplace.py
@@ -48,7 +48,7 @@
 [store]
 address = 127.0.0.1:{store}
 [stop]
-grace_s = 4
+grace_s = {grace_s}
 """
 
 
@@ -127,6 +127,7 @@
     rejected: set[str] = attrs.field(factory=set)
     published: dict[int, float] = attrs.field(factory=dict)
     mutant: str = ""
+    grace_s: float = 4.0
     version: int = 0
     target_latency_ms: int = 1000
     peer_routes: dict[str, faultproxy.Route] = attrs.field(factory=dict)
@@ -229,6 +230,7 @@
             metrics=ports.metrics,
             seeds=" ".join(seeds[:3]),
             store=ports.store_proxy,
+            grace_s=self.grace_s,
         )
         path = self.folder / f"{name}.ini"
         path.write_text(text)
