--- a/acacialine/tools/mutants.py
+++ b/acacialine/tools/mutants.py
@@ -32,18 +32,24 @@
     ownership.Ownership.decide = mutated
 
 
-def _no_list_at_takeover() -> None:
-    """An owner starts tasks before it knows what its servers run."""
+def _judge_as_if(name: str, value: bool) -> None:
+    """Makes servers usable whatever one of their attributes says."""
     is_usable = judge.is_usable
 
     def mutated(server, now):
-        listed, server.listed = server.listed, True
+        kept = getattr(server, name)
+        setattr(server, name, value)
         try:
             return is_usable(server, now)
         finally:
-            server.listed = listed
+            setattr(server, name, kept)
 
     judge.is_usable = mutated
+
+
+def _no_list_at_takeover() -> None:
+    """An owner starts tasks before it knows what its servers run."""
+    _judge_as_if("listed", True)
     zoneruns.has_unclaimed = lambda server: False
     zoneruns.Runs.are_known = property(lambda self: True)
 
@@ -72,16 +78,7 @@
 
 def _no_draining() -> None:
     """Servers that leave get new tasks."""
-    is_usable = judge.is_usable
-
-    def mutated(server, now):
-        draining, server.draining = server.draining, False
-        try:
-            return is_usable(server, now)
-        finally:
-            server.draining = draining
-
-    judge.is_usable = mutated
+    _judge_as_if("draining", False)
 
 
 def _false_refusals() -> None:
