Spilled tasks are subtracted until the next report only

Cause: `update_placers` compared each report with itself, so tasks spilled to a zone were subtracted for ever; a dispatcher spilled about three jobs in its life. Reports also counted as new with any message on the link. Change: the tasks are forgotten when a newer heartbeat arrives.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -335,7 +335,7 @@
                     state.zone,
                     state.claim,
                     state.free_tasks,
-                    link.heard_at,
+                    link.heartbeat_at,
                 )
         return placers
 
--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -54,7 +54,7 @@
         peer_id: Incarnation of its dispatcher, which may be this one.
         epoch: Epoch of its claim to the zone.
         free_tasks: How many tasks it can start now, as it last reported.
-        reported_at: When it reported that.
+        reported_at: When its newest heartbeat, which reports that, arrived.
     """
 
     peer_id: str
@@ -229,17 +229,15 @@
                 assigned.epoch,
             ):
                 self._record_placer_loss(request, now)
-        self.placers = placers
+        # A newer report of a zone already counts the tasks spilled there.
         self._spilled_tasks = {
             zone: count
             for zone, count in self._spilled_tasks.items()
             if zone in placers
-            and placers[zone].reported_at == self._reported_at(zone)
+            and zone in self.placers
+            and placers[zone].reported_at == self.placers[zone].reported_at
         }
-
-    def _reported_at(self, zone: str) -> float:
-        placer = self.placers.get(zone)
-        return placer.reported_at if placer else 0.0
+        self.placers = placers
 
     def _record_placer_loss(self, request: Request, now: float) -> None:
         """Separates a request from a placer that may have started its tasks."""
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -111,6 +111,7 @@
         heartbeat: The peer's newest heartbeat; None until one has arrived on
             the current connection.
         heard_at: Time of the last message; 0 before the first connection.
+        heartbeat_at: When `heartbeat` arrived.
         is_refused: Whether the peer's address refused the last connection.
     """
 
@@ -121,6 +122,7 @@
     peer_id: str = ""
     heartbeat: messages.ZoneState | None = None
     heard_at: float = 0.0
+    heartbeat_at: float = 0.0
     is_refused: bool = False
     created_at: float = attrs.field(factory=clock.now)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -216,6 +218,7 @@
             if isinstance(message, messages.ZoneState):
                 was_open = self.heartbeat is not None
                 self.heartbeat = message
+                self.heartbeat_at = self.heard_at
                 if not was_open:
                     self.hub.on_link_opened(self)
             self.hub.on_message(self, message)
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -60,6 +60,28 @@
         self.assertIs(answer.kind, NOT_RUN)
         self.assertEqual(answer.retry_after_s, 2.0)
 
+    def test_each_report_of_free_slots_allows_spilling_again(self):
+        # Guards against spills that were subtracted for ever, so that a
+        # dispatcher spilled three jobs in its life.
+        for number in range(12):
+            at = number * 0.4
+            other = placer("p2", "zone-b", free=8, at=at)
+            self.set_placers(at, placer(at=at), other)
+            self.receive(at)
+            (order,) = self.receive_verdict("p1", "not_run", "overloaded")
+            self.assertEqual(order.placer.peer_id, "p2")
+            self.receive_verdict("p2", "completed")
+
+    def test_spilled_tasks_count_until_the_next_report(self):
+        other = placer("p2", "zone-b", free=5)
+        spilled = 0
+        for _ in range(4):
+            self.set_placers(0.0, placer(), other)
+            self.receive()
+            spilled += len(self.receive_verdict("p1", "not_run", "overloaded"))
+            self.intake.requests.clear()
+        self.assertEqual(spilled, 2)  # jobs of two tasks into five slots
+
     def test_a_refusal_is_answered_at_once_without_free_slots_elsewhere(self):
         self.set_placers(0.0, placer(), placer("p2", "zone-b", free=1))
         self.receive()
