Placer: only server of a service, order of ended jobs, adopted runs, weights

Causes and changes, each with a test that fails at (test_placer, test_ownership): - A task that failed on the only server of its service was never retried, as servers of other services counted as alternatives. - A job that ended again kept its old place in the order of expiry, so its answer was dropped too late and kept those after it. - The duration of a run that an earlier owner started was learned from the time of its adoption, so servers and queues looked faster than they are. - The weight of a member stayed the one of its first heartbeat.

--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -136,6 +136,7 @@
         member.refuses_connections = False
         member.claim = claim
         member.is_candidate = is_candidate
+        member.weight = weight
         self.highest_epoch = max(self.highest_epoch, claim)
         self._highest_heard_epoch = max(self._highest_heard_epoch, claim)
 
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -315,6 +315,8 @@
             self.runs.stop(run, now)
         job.waiting.clear()
         if verdict != zonetables.Verdict.NOT_RUN or job.next_run_number:
+            # Removed first, so that the table stays in the order of the ends.
+            self.tables.ended_jobs.pop(job.id, None)
             self.tables.ended_jobs[job.id] = zonetables.EndedJob(
                 verdict, reason, job.next_run_number, now
             )
@@ -482,7 +484,9 @@
             server = candidate.server
             if server.service != job.queue.service:
                 continue
-            if server.id == avoided_id and len(usable) > 1:
+            if server.id == avoided_id and any(
+                _may_ever_run(u.server, job) for u in usable if u != candidate
+            ):
                 continue  # the task failed or was not started there
             if not step.demand.fits(server.free):
                 continue
@@ -531,7 +535,7 @@
             (tables.ended_jobs, zonetables.ENDED_JOBS_RETENTION_S),
             (tables.unclaimed_ends, zonetables.ENDED_JOBS_RETENTION_S),
         ):
-            # Entries are in the order in which their job or task first ended.
+            # Entries are in the order in which their job or task ended.
             while table:
                 key = next(iter(table))
                 value = table[key]
@@ -554,7 +558,11 @@
     def task_done(self, run: zonetables.Run, now: float) -> None:
         """Records that a run succeeded and marks its task as done."""
         job = run.job
-        if run.confirmed_at is not None and job.estimate_s > 0:
+        if (
+            run.confirmed_at is not None
+            and run.is_start_known
+            and job.estimate_s > 0
+        ):
             serverhealth.record_success(
                 self.tables,
                 run.server,
@@ -613,6 +621,16 @@
         self._emit(orders_lib.LogDecision(event, fields))
 
 
+def _may_ever_run(server: zonetables.Server, job: zonetables.Job) -> bool:
+    """Returns whether an idle backend server could run the tasks of a job."""
+    step = job.step
+    return (
+        server.service == job.queue.service
+        and step.demand.fits(server.capacity)
+        and (not step.label or step.label in server.labels)
+    )
+
+
 def new_placer(zone: str, late_share: float, now: float) -> Placer:
     """Returns a placer that becomes the owner of a zone's servers now."""
     tables = zonetables.ZoneTables(zone)
--- a/acacialine/tests/test_ownership.py
+++ b/acacialine/tests/test_ownership.py
@@ -115,6 +115,12 @@
         self.record_heartbeat(local, "b", 1.5)
         self.assertIs(self.decide(local, 1.6), ownership.Role.FOLLOWER)
 
+    def test_the_weight_of_a_member_is_the_one_it_reported_last(self):
+        local = new_ownership()
+        local.record_heartbeat("b", 2.0, 0, True, 1.0, weight=1.0)
+        local.record_heartbeat("b", 2.0, 0, True, 1.2, weight=2.5)
+        self.assertEqual(local.members["b"].weight, 2.5)
+
     def test_a_relayed_claim_prevents_claiming(self):
         local = new_ownership()
         self.record_heartbeat(local, "c", 2.0, started=3.0)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -388,6 +388,46 @@
         self.assertLess(other.free.cpu, 7000)
         self.assertEqual(build.starts(new_orders), [])
 
+    def test_a_failed_task_is_retried_on_the_only_server_of_its_service(self):
+        placer = build.placer(
+            build.server("i-1"), build.server("i-2", service="other-desk")
+        )
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        row = orders.EndedRow(1, run.key, run.number, zonetables.EndKind.FAILED)
+        (retried,) = build.starts(self.poll(placer, run.server, 0.1, (), [row]))
+        self.assertIs(retried.server, run.server)
+
+    def test_a_job_that_ends_again_keeps_its_answer_for_the_whole_time(self):
+        placer = build.placer()
+        self.submit(placer)
+        placer.cancel("00000000000000aa", "dispatcher", "left", 0.1)
+        run, *_ = placer.tables.servers["i-1"].runs.values()
+        self.poll(placer, run.server, 2.0)
+        self.submit(placer, 4.0, job_id="00000000000000bb")
+        placer.cancel("00000000000000bb", "dispatcher", "left", 4.1)
+        self.poll(placer, run.server, 5.5)
+        self.submit(placer, 5.6)
+        placer.cancel("00000000000000aa", "dispatcher", "left", 5.9)
+        self.poll(placer, run.server, 10.5)
+        # The first job ended last, 4.6 s ago, the second 6.4 s ago.
+        self.assertEqual(list(placer.tables.ended_jobs), ["00000000000000aa"])
+
+    def test_the_duration_of_an_adopted_run_is_not_learned(self):
+        # It started under the earlier owner, so the time since this owner
+        # first listed it is shorter than its duration.
+        placer = build.placer()
+        server = placer.tables.servers["i-1"]
+        key = zonetables.TaskKey("00000000000000aa", 0, 0, 0)
+        self.poll(placer, server, 0.1, [orders.RunningRow(key, 1, 90)])
+        self.submit(placer, 0.11, handovers=1, step=build.step(1))
+        row = orders.EndedRow(1, key, 1, zonetables.EndKind.DONE)
+        new_orders = self.poll(placer, server, 0.12, ended=[row])
+        (answer,) = build.answers(new_orders)
+        self.assertIs(answer.verdict, zonetables.Verdict.COMPLETED)
+        self.assertEqual(server.slowness, 1.0)
+        self.assertEqual(placer.tables.estimate_ratio, {})
+
     def test_a_stalled_run_is_stopped_and_started_elsewhere(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         (run,) = build.starts(self.submit(placer, step=build.step(1)))
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -356,6 +356,7 @@
         """
         job = self.tables.jobs.get(row.key.job_id)
         if job is None:
+            self.tables.unclaimed_ends.pop(row.key, None)
             self.tables.unclaimed_ends[row.key] = now
         elif row.key.index in job.waiting:
             job.waiting.remove(row.key.index)
@@ -387,6 +388,7 @@
             confirmed_at=now,
             percent=row.percent,
             progress_at=now,
+            is_start_known=False,
         )
         self.tables.add_run(run)
         # Its lease is unknown: an earlier owner or a late order set it.
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -115,6 +115,8 @@
         progress_at: When `percent` last increased.
         seen_at: When a poll last listed it.
         expected_s: Expected duration on this backend server.
+        is_start_known: Whether `sent_at` is when it started. It is not for a
+            run that an earlier owner started.
     """
 
     key: TaskKey
@@ -132,6 +134,7 @@
     percent: int = 0
     progress_at: float = 0.0
     seen_at: float = 0.0
+    is_start_known: bool = True
 
     @property
     def id(self) -> tuple[TaskKey, int]:
@@ -349,6 +352,7 @@
         if server.runs.pop(run.id, None) is None:
             return
         server.release(run.demand)
+        server.recently_ended.pop(run.id, None)
         server.recently_ended[run.id] = now
         self.live_runs[run.key] -= 1
         if not self.live_runs[run.key]:
