--- a/acacialine/configlog.py
+++ b/acacialine/configlog.py
@@ -11,6 +11,7 @@
 
 from acacialine import documents as documents_lib
 from acacialine import errors
+from acacialine import platforms
 
 MAX_RETAINED_REJECTIONS = 64
 MAX_RETAINED_CHANGE_IDS = 4096
@@ -103,6 +104,35 @@
         return None
 
 
+async def find_covering_snapshot(
+    platform: platforms.Platform, stream: str, page: platforms.LogPage
+) -> Snapshot | None:
+    """Returns a snapshot that includes all records dropped from a log.
+
+    Args:
+        platform: The platform that stores the log.
+        stream: Name of the log.
+        page: A page that begins with the first retained record.
+
+    Returns:
+        The first such snapshot; None if the retained records have none.
+
+    Raises:
+        errors.PlatformError: The platform did not answer.
+    """
+    while page.records:
+        for record in page.records:
+            decoded = decode_record(record.text)
+            snapshot = decoded.snapshot if decoded else None
+            if snapshot and snapshot.offset >= page.first - 1:
+                return snapshot
+        next_offset = page.records[-1].offset + 1
+        if next_offset >= page.end:
+            return None
+        page = await platform.read(stream, next_offset, 0)
+    return None
+
+
 @attrs.define
 class Configuration:
     """The configuration in force after applying the log up to an offset.
@@ -188,15 +218,20 @@
         """Replaces this configuration by a snapshot if that is newer.
 
         Returns:
-            Whether the snapshot was adopted.
+            Whether the snapshot was adopted; False also if one of its
+            documents is invalid.
         """
         if snapshot.offset <= self.offset:
             return False
+        try:
+            documents = {
+                team: documents_lib.read_document(version.text, team)
+                for team, version in snapshot.versions.items()
+            }
+        except errors.FindingsError:
+            return False
         self.versions = dict(snapshot.versions)
-        self.documents = {
-            team: documents_lib.read_document(version.text, team)
-            for team, version in self.versions.items()
-        }
+        self.documents = documents
         self.changes = dict(snapshot.changes)
         self.rejections.clear()
         self.rejections.extend(snapshot.rejections)
--- a/acacialine/configreader.py
+++ b/acacialine/configreader.py
@@ -67,31 +67,32 @@
             self.settings.poll_ms,
         )
         if page.first > configuration.offset + 1:
-            page = self._adopt_snapshot_after_gap(page)
+            await self._adopt_snapshot_after_gap(page)
+            return  # the next read begins after the snapshot
         for record in page.records:
             self._apply(record)
 
-    def _adopt_snapshot_after_gap(
-        self, page: platforms.LogPage
-    ) -> platforms.LogPage:
+    async def _adopt_snapshot_after_gap(self, page: platforms.LogPage) -> None:
         """Adopts a snapshot after the log dropped records not yet read.
 
         Applying only the later changes would give a configuration that was
         never in force, so nothing is applied until a snapshot covers the gap.
 
+        Args:
+            page: A page that begins with the first retained record.
+
         Raises:
-            errors.PlatformError: No snapshot of the page covers the gap.
+            errors.PlatformError: No retained snapshot covers the gap.
         """
-        for record in page.records:
-            decoded = configlog.decode_record(record.text)
-            snapshot = decoded.snapshot if decoded else None
-            if snapshot and snapshot.offset >= page.first - 1:
-                self._tables.configuration.adopt(snapshot)
-                self._log_applied("snapshot")
-                return page
-        raise errors.PlatformError(
-            "no snapshot in the retained records covers the dropped ones"
+        snapshot = await configlog.find_covering_snapshot(
+            self.platform, self.settings.config_stream, page
         )
+        if snapshot is None or not self._tables.configuration.adopt(snapshot):
+            raise errors.PlatformError(
+                "no valid snapshot in the retained records covers the dropped"
+                " ones"
+            )
+        self._log_applied("snapshot")
 
     def _apply(self, record: platforms.LogRecord) -> None:
         configuration = self._tables.configuration
--- a/acacialine/operators.py
+++ b/acacialine/operators.py
@@ -150,9 +150,10 @@
     """Waits until all live entries have reached a configuration offset.
 
     Returns:
-        Names of the entries that have not reached it within the timeout.
+        Names of the entries that have not reached it within the timeout; the
+        admin address if it has not answered by then.
     """
-    lagging: list[str] = []
+    lagging = [client.address]
     with trio.move_on_after(timeout_s):
         while True:
             status = await client.status()
--- a/acacialine/platforms.py
+++ b/acacialine/platforms.py
@@ -125,7 +125,11 @@
         """See `Platform.append`."""
         path = f"/log/{urllib.parse.quote(stream)}"
         body = await self._request("POST", path, text.encode())
-        return _decode(body, AppendResponse).offset
+        try:
+            return _decode(body, AppendResponse).offset
+        except errors.PlatformError as error:
+            # The append succeeded; only the offset is unknown.
+            raise errors.PlatformError(str(error), True) from error
 
     async def read(self, stream: str, start: int, wait_ms: int) -> LogPage:
         """See `Platform.read`."""
--- a/acacialine/publisher.py
+++ b/acacialine/publisher.py
@@ -59,13 +59,21 @@
         The configuration in force, and the changes, oldest first.
 
     Raises:
-        errors.PlatformError: The platform did not answer.
+        errors.PlatformError: The platform did not answer, or the log dropped
+            records that no retained snapshot covers.
     """
     configuration = configlog.Configuration()
     history: list[HistoryLine] = []
     page = await platform.read(stream, 1, 0)
     if page.first > 1:
-        _adopt_covering_snapshot(configuration, page)
+        snapshot = await configlog.find_covering_snapshot(
+            platform, stream, page
+        )
+        if snapshot is None or not configuration.adopt(snapshot):
+            raise errors.PlatformError(
+                f"{stream}: no valid snapshot covers the records before"
+                f" {page.first}, which the log has dropped"
+            )
     while True:
         for record in page.records:
             _apply_record(configuration, record, history)
@@ -77,17 +85,6 @@
         page = await platform.read(stream, last_offset + 1, 0)
 
 
-def _adopt_covering_snapshot(
-    configuration: configlog.Configuration, page: platforms.LogPage
-) -> None:
-    for record in page.records:
-        decoded = configlog.decode_record(record.text)
-        snapshot = decoded.snapshot if decoded else None
-        if snapshot and snapshot.offset >= page.first - 1:
-            configuration.adopt(snapshot)
-            return
-
-
 def _apply_record(
     configuration: configlog.Configuration,
     record: platforms.LogRecord,
--- a/acacialine/tests/test_configuration.py
+++ b/acacialine/tests/test_configuration.py
@@ -6,8 +6,10 @@
 import trio
 
 from acacialine import configlog
+from acacialine import configreader
 from acacialine import errors
 from acacialine import messages
+from acacialine import operators
 from acacialine import platforms
 from acacialine import publisher
 from acacialine.tests import support
@@ -82,6 +84,109 @@
         self.assertTrue(self.configuration.apply(2, encoded_change("a", 0)))
 
 
+class PagedPlatform(platforms.Platform):
+    """A log whose reads return one record each, without a network."""
+
+    def __init__(self, first: int, texts: list[str]):
+        self.first = first
+        self.texts = texts
+
+    async def append(self, stream, text):
+        raise NotImplementedError
+
+    async def list_vms(self):
+        raise NotImplementedError
+
+    async def read(self, stream, start, wait_ms):
+        await trio.sleep(0)
+        start = max(start, self.first)
+        end = self.first + len(self.texts)
+        texts = self.texts[start - self.first :][:1]
+        records = [platforms.LogRecord(start, text) for text in texts]
+        return platforms.LogPage(records, self.first, end)
+
+
+class DroppedRecordsTest(unittest.TestCase):
+    """Reads of a log that has dropped its first records."""
+
+    def setUp(self):
+        configuration = configlog.Configuration()
+        texts = [encoded_change("a", 0), encoded_change("b", 1, weight=2)]
+        for offset, text in enumerate(texts, 1):
+            configuration.apply(offset, text)
+        record = configlog.Record(snapshot=configuration.snapshot())
+        self.snapshot = configlog.encode_record(record)
+        self.next_change = encoded_change("c", 2, weight=3)
+
+    def read_once(self, platform, times):
+        core = support.new_core()
+        core.tables.configuration = configlog.Configuration()
+        settings = core.tables.settings.platform
+        reader = configreader.ConfigReader(core, platform, settings)
+
+        async def main():
+            for _ in range(times):
+                await reader._read_once()
+
+        trio.run(main)
+        return core.tables.configuration
+
+    def read_configuration(self, platform):
+        return trio.run(publisher.read_configuration, platform, "config")[0]
+
+    def test_a_snapshot_on_a_later_page_covers_the_dropped_records(self):
+        platform = PagedPlatform(3, [self.next_change, self.snapshot])
+        found = self.read_once(platform, 3)
+        self.assertEqual(found.documents["alpha"].weight, 3)
+        found = self.read_configuration(platform)
+        self.assertEqual(found.documents["alpha"].weight, 3)
+
+    def test_nothing_is_applied_without_a_covering_snapshot(self):
+        platform = PagedPlatform(3, [self.next_change])
+        with self.assertRaises(errors.PlatformError):
+            self.read_once(platform, 1)
+        with self.assertRaises(errors.PlatformError):
+            self.read_configuration(platform)
+
+    def test_a_snapshot_with_an_invalid_document_is_not_adopted(self):
+        configuration = configlog.Configuration()
+        configuration.apply(1, encoded_change("a", 0))
+        broken = configlog.Version(2, "b", "[service]\n")
+        snapshot = configlog.Snapshot(2, {"alpha": broken}, {})
+        self.assertFalse(configuration.adopt(snapshot))
+        self.assertEqual(configuration.offset, 1)
+        self.assertEqual(configuration.documents["alpha"].weight, 1)
+
+
+class SilentAdminClient:
+    """An admin client whose entry never answers."""
+
+    address = "127.0.0.1:9"
+
+    async def status(self):
+        await trio.sleep_forever()
+
+
+class PublishResultTest(unittest.TestCase):
+    def test_a_wait_that_times_out_is_no_success(self):
+        lagging = trio.run(
+            operators._wait_until_in_force, SilentAdminClient(), 3, 0.05
+        )
+        self.assertEqual(lagging, ["127.0.0.1:9"])
+
+    def test_a_malformed_answer_to_an_append_leaves_the_result_open(self):
+        platform = platforms.new_http_platform("http://127.0.0.1:9", 500)
+
+        async def request(*args):
+            await trio.sleep(0)
+            return b"[]"
+
+        platform._request = request
+        with self.assertRaises(errors.PlatformError) as caught:
+            trio.run(platform.append, "config", "text")
+        self.assertTrue(caught.exception.may_have_applied)
+
+
 class PlatformOutageTest(unittest.TestCase):
     """Runs real entries and a fake platform in one process."""
 
