Deadline-Ms must be a positive number; no request lives for ever

Cause: `nan`, `inf` and negative values passed, and such a request had no deadline or a past one. Change: 400 for them; any deadline is at most an hour.

--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -22,6 +22,7 @@
 MAX_SPEC_BYTES = 4000  # the platform's limit
 UNSUPPORTED_RETRY_AFTER_S = 60  # only a new release changes the response
 DEFAULT_DEADLINE_S = 60.0  # if neither the request nor its route sets one
+MAX_DEADLINE_S = 3600.0  # longer deadlines are shortened to this
 MAX_TASKS_PER_STEP = 10000  # far above the largest job, which has 1,600
 _UNSUPPORTED_STEP_FIELDS = (
     "after",
@@ -263,17 +264,21 @@
     """Returns the time in s after which the client stops waiting.
 
     If the request has no Deadline-Ms header, the timeout of its route applies.
+    The result is at most MAX_DEADLINE_S.
 
     Raises:
-        MalformedError: The header is not a number.
+        MalformedError: The header is not a positive, finite number.
     """
     raw = headers.get(b"deadline-ms", b"")
     if not raw:
-        return route.timeout_s or DEFAULT_DEADLINE_S
+        return min(route.timeout_s or DEFAULT_DEADLINE_S, MAX_DEADLINE_S)
     try:
-        return float(raw) / 1000
+        left_s = float(raw) / 1000
     except ValueError as error:
         raise MalformedError(f"Deadline-Ms: {error}") from error
+    if not (math.isfinite(left_s) and left_s > 0):
+        raise MalformedError(f"Deadline-Ms must be positive: {raw!r}")
+    return min(left_s, MAX_DEADLINE_S)
 
 
 async def _read_body(receive, limit: int) -> bytes | None:
--- a/acacialine/tests/test_platform.py
+++ b/acacialine/tests/test_platform.py
@@ -156,6 +156,29 @@
         self.assertIs(outcome, orders.StartOutcome.NOT_STARTED)
 
 
+class DeadlineTest(unittest.TestCase):
+    def time_left_s(self, header, timeout_s=1.5):
+        queue = zonetables.Queue("q", "desk", 0, 1, 1.5, 0.1)
+        route = routes.Route(queue, "h", "/p/", timeout_s)
+        headers = {} if header is None else {b"deadline-ms": header}
+        return ingress._time_left_s(headers, route)
+
+    def test_the_header_goes_before_the_timeout_of_the_route(self):
+        self.assertEqual(self.time_left_s(b"900"), 0.9)
+        self.assertEqual(self.time_left_s(None), 1.5)
+        self.assertEqual(self.time_left_s(b""), 1.5)
+
+    def test_no_request_lives_for_ever(self):
+        for header, timeout_s in ((None, 0.0), (None, 1e9), (b"1e300", 1.5)):
+            left_s = self.time_left_s(header, timeout_s)
+            self.assertLessEqual(left_s, ingress.MAX_DEADLINE_S)
+
+    def test_a_deadline_that_is_no_positive_number_is_malformed(self):
+        for header in (b"nan", b"inf", b"-inf", b"-5", b"0", b"soon"):
+            with self.assertRaises(ingress.MalformedError, msg=header):
+                self.time_left_s(header)
+
+
 class SubmissionTest(unittest.TestCase):
     def decode(self, **changes):
         body = {
