--- a/acacialine/__main__.py
+++ b/acacialine/__main__.py
@@ -81,6 +81,8 @@
 
     from acacialine import explain as explain_lib
 
+    if not explain_lib.job_id_of(job_id):
+        raise click.BadParameter("must not be empty", param_hint="JOB_ID")
     files = logs or (click.get_text_stream("stdin", errors="replace"),)
     timeline = explain_lib.explain(job_id, itertools.chain(*files))
     if as_json:
--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -1,8 +1,12 @@
 """Records in the store by which dispatchers find each other."""
 
+import ipaddress
+
 import attrs
 import msgspec
 
+from acacialine import ids
+
 # Above this number of dispatchers, each renews its record less often.
 MAX_FULL_RATE_DISPATCHERS = 12
 
@@ -62,6 +66,11 @@
             self.renewed_at.pop(key, None)
             return
         record = msgspec.json.decode(value, type=EntryRecord)
+        if record.id != key:
+            raise ValueError(f"the record names another id: {record.id!r}")
+        if ids.parse_incarnation(key).address != record.peer_address:
+            raise ValueError(f"the id has another address: {record.address!r}")
+        ipaddress.ip_address(record.peer_address[0])
         # Of several processes at one address the last to write is alive. Start
         # times are not compared, because wall clocks may be wrong.
         for other in list(self.records.values()):
--- a/acacialine/explain.py
+++ b/acacialine/explain.py
@@ -77,6 +77,11 @@
     return LoggedEvent(match["time"], match["at"], match["name"], fields)
 
 
+def job_id_of(name: str) -> str:
+    """Returns the id of a job from that id or the name of one of its tasks."""
+    return name.strip().partition(".")[0]
+
+
 def explain(
     job_id: str, log_lines: collections.abc.Iterable[str]
 ) -> JobTimeline:
@@ -86,7 +91,7 @@
         job_id: Id of the job, or of one of its tasks.
         log_lines: Lines of all logs, in any order.
     """
-    job_id = job_id.partition(".")[0]
+    job_id = job_id_of(job_id)
     lines = []
     for log_line in log_lines:
         if job_id not in log_line:
--- a/acacialine/handover.py
+++ b/acacialine/handover.py
@@ -49,7 +49,9 @@
             if await self._try_send(successor):
                 return successor
             # Excludes the peer from the next choice unless it is heard again.
-            self._tables.peers[successor].heard_at = 0.0
+            peer = self._tables.peers.get(successor)
+            if peer is not None:  # not removed during the call
+                peer.heard_at = 0.0
         return ""
 
     async def _try_send(self, successor: str) -> bool:
--- a/acacialine/ids.py
+++ b/acacialine/ids.py
@@ -14,6 +14,8 @@
 
 MAX_KEY_LENGTH = 128  # characters
 _KEY_PATTERN = re.compile(rf"[A-Za-z0-9._~:-]{{1,{MAX_KEY_LENGTH}}}")
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
 _NONCE_PATTERN = re.compile(r"[0-9a-f]{16}")
 DIGEST_BYTES = 16
 
@@ -82,6 +84,8 @@
     if (
         len(parts) != 3
         or not parts[0]
+        or not _PORT_PATTERN.fullmatch(parts[1])
+        or int(parts[1]) > MAX_PORT
         or not _NONCE_PATTERN.fullmatch(parts[2])
     ):
         raise ValueError("not a coordinator: expected host-port-nonce")
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -95,9 +95,11 @@
             started_at = clock.now()
             try:
                 await reader()
-            except store_lib.OffsetGoneError:
-                delay_s = MIN_RETRY_DELAY_S
-                continue
+            except store_lib.OffsetGoneError as error:
+                # Reads on at once, unless the store answers so repeatedly.
+                if clock.now() - started_at > MAX_RETRY_DELAY_S:
+                    continue
+                self._note_store_failure(reader, error)
             except errors.PlatformError as error:
                 self._note_store_failure(reader, error)
             if clock.now() - started_at > MAX_RETRY_DELAY_S * 4:
--- a/acacialine/tests/support.py
+++ b/acacialine/tests/support.py
@@ -12,6 +12,7 @@
 from acacialine import configlog
 from acacialine import core as core_lib
 from acacialine import ids
+from acacialine import messages
 from acacialine import platforms
 from acacialine import settings as settings_lib
 from acacialine import tables as tables_lib
@@ -106,6 +107,27 @@
     return platforms.Vm(name, **{**fields, **changes})
 
 
+def new_heartbeat(sender: ids.Incarnation, number: int = 1, **changes):
+    """Returns the heartbeat of an entry with short names and 8 free slots."""
+    values = {
+        "sender": str(sender),
+        "name": "n",
+        "zone": "zone-a",
+        "state": "live",
+        "beat": number,
+        "sent_at": 0.0,
+        "config_offset": 1,
+        "successor": "",
+        "caller_address": "x:1",
+        "last_seq": 0,
+        "slots": 8,
+        "free": 8,
+        "work_s": 0.0,
+        "waiting": 0,
+    }
+    return messages.Heartbeat(**{**values, **changes})
+
+
 class Client:
     """A client of one entry, with the token of one team."""
 
--- a/acacialine/tests/test_logs.py
+++ b/acacialine/tests/test_logs.py
@@ -3,6 +3,9 @@
 import os
 import unittest
 
+from click import testing
+
+from acacialine import __main__ as main_lib
 from acacialine import explain
 from acacialine import logsink
 
@@ -77,6 +80,14 @@
         self.assertEqual(timeline.troubles, ["a run stalled on i-7"])
         self.assertIn("cause: failed", explain.format_timeline(timeline))
 
+    def test_the_command_refuses_an_empty_job_id(self):
+        for job_id in ("", " ", ".0.0.1"):
+            result = testing.CliRunner().invoke(
+                main_lib.cli, ["explain", job_id], input="a line\n"
+            )
+            self.assertEqual(result.exit_code, 2, msg=job_id)
+            self.assertIn("must not be empty", result.output)
+
     def test_an_unknown_job_has_no_lines(self):
         self.assertEqual(explain.explain("cc", self.LINES).lines, [])
 
--- a/acacialine/tests/test_membership.py
+++ b/acacialine/tests/test_membership.py
@@ -10,27 +10,6 @@
 from acacialine import platforms
 from acacialine.tests import support
 
-
-def new_heartbeat(sender: ids.Incarnation, number: int = 1, **changes):
-    values = {
-        "sender": str(sender),
-        "name": "n",
-        "zone": "zone-a",
-        "state": "live",
-        "beat": number,
-        "sent_at": 0.0,
-        "config_offset": 1,
-        "successor": "",
-        "caller_address": "x:1",
-        "last_seq": 0,
-        "slots": 8,
-        "free": 8,
-        "work_s": 0.0,
-        "waiting": 0,
-    }
-    return messages.Heartbeat(**{**values, **changes})
-
-
 OLD = ids.Incarnation("10.0.0.9", 7000, "1" * 16)
 NEW = ids.Incarnation("10.0.0.9", 7000, "2" * 16)
 
@@ -44,30 +23,30 @@
         return set(self.tables.peers)
 
     def test_a_silent_peer_may_return(self):
-        self.core.receive(str(OLD), new_heartbeat(OLD), 0.0)
+        self.core.receive(str(OLD), support.new_heartbeat(OLD), 0.0)
         membership.detect_dead_peers(self.tables, 1.0)
         self.assertEqual(self._peer_ids(), set())
-        self.core.receive(str(OLD), new_heartbeat(OLD, 2), 1.1)
+        self.core.receive(str(OLD), support.new_heartbeat(OLD, 2), 1.1)
         self.assertEqual(self._peer_ids(), {str(OLD)})
 
     def test_a_replaced_incarnation_never_returns(self):
-        self.core.receive(str(OLD), new_heartbeat(OLD), 0.0)
-        self.core.receive(str(NEW), new_heartbeat(NEW), 0.1)
-        self.core.receive(str(OLD), new_heartbeat(OLD, 9), 0.2)
+        self.core.receive(str(OLD), support.new_heartbeat(OLD), 0.0)
+        self.core.receive(str(NEW), support.new_heartbeat(NEW), 0.1)
+        self.core.receive(str(OLD), support.new_heartbeat(OLD, 9), 0.2)
         self.assertEqual(self._peer_ids(), {str(NEW)})
 
     def test_a_late_report_of_an_old_incarnation_is_ignored(self):
-        self.core.receive(str(NEW), new_heartbeat(NEW), 0.0)
-        self.core.receive(str(OLD), new_heartbeat(OLD), 0.1)
+        self.core.receive(str(NEW), support.new_heartbeat(NEW), 0.0)
+        self.core.receive(str(OLD), support.new_heartbeat(OLD), 0.1)
         third = ids.Incarnation("10.0.0.8", 7000, "3" * 16)
         report = messages.MemberReport(str(OLD), "n", "zone-a", "live", 1, 0)
         self.core.receive(
-            str(third), new_heartbeat(third, members=[report]), 0.2
+            str(third), support.new_heartbeat(third, members=[report]), 0.2
         )
         self.assertEqual(self._peer_ids(), {str(NEW), str(third)})
 
     def test_a_message_of_another_sender_is_dropped(self):
-        self.core.receive(str(OLD), new_heartbeat(NEW), 0.0)
+        self.core.receive(str(OLD), support.new_heartbeat(NEW), 0.0)
         self.assertEqual(self._peer_ids(), set())
 
     def test_rendezvous_moves_only_the_keys_of_a_removed_member(self):
@@ -83,7 +62,9 @@
         vms = platforms.VmList([support.vm("b1"), support.vm("b2")])
         self.core.apply_vms(vms, 0.0)
         report = messages.BackendReport("b1", True)
-        self.core.receive(str(OLD), new_heartbeat(OLD, backends=[report]), 0.1)
+        self.core.receive(
+            str(OLD), support.new_heartbeat(OLD, backends=[report]), 0.1
+        )
         self.core.apply_vms(vms, 0.2)
         leaving_vm = attrs.evolve(support.vm("b2"), state="leaving")
         self.core.apply_vms(
--- /dev/null
+++ b/acacialine/tests/test_storereader.py
@@ -0,0 +1,66 @@
+"""The readers of the store, against stores that fail."""
+
+import types
+import unittest
+
+import trio
+
+from acacialine import ownership
+from acacialine import storereader
+from acacialine.platform import store as store_lib
+from acacialine.tests import support
+
+
+class FakeDispatcher:
+    """What a store reader uses of its dispatcher."""
+
+    def __init__(self):
+        address = ("127.0.0.1", 9)
+        self.settings = types.SimpleNamespace(
+            store=types.SimpleNamespace(address=address)
+        )
+        self.ownership = ownership.Ownership("me", 0.0, 0.0)
+        self.logged = []
+
+    def log(self, event, **fields):
+        self.logged.append((event, fields))
+
+
+class StoreReaderTest(unittest.TestCase):
+    def setUp(self):
+        self.dispatcher = FakeDispatcher()
+        self.reader = storereader.StoreReader(self.dispatcher)
+
+    def count_reads(self, read, seconds):
+        """Returns how often a reader is restarted within some time."""
+        reads = []
+
+        async def read_and_count():
+            reads.append(support.now())
+            await read()
+
+        async def main():
+            with trio.move_on_after(seconds):
+                await self.reader._follow(read_and_count)
+
+        trio.run(main)
+        return len(reads)
+
+    def test_a_store_that_always_answers_410_is_not_read_in_a_busy_loop(self):
+        async def read():
+            await trio.sleep(0)
+            raise store_lib.OffsetGoneError("gone")
+
+        self.assertLessEqual(self.count_reads(read, 0.9), 4)
+        self.assertEqual(len(self.dispatcher.logged), 1)
+
+    def test_a_reader_starts_again_at_once_after_a_single_410(self):
+        async def read():
+            await trio.sleep(storereader.MAX_RETRY_DELAY_S + 0.1)
+            raise store_lib.OffsetGoneError("gone")
+
+        self.assertEqual(self.count_reads(read, 1.3), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
