--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -201,7 +201,9 @@
 
 struct KeepJob { jobId @0 :Text; }
 
-struct JobKept { jobId @0 :Text; zone @1 :Text; }
+struct JobKept { jobId @0 :Text; zone @1 :Text; isRelayed @2 :Bool; }
+
+struct KeptConfirmed { jobId @0 :Text; }
 
 struct JobVerdict {
   jobId @0 :Text;
@@ -240,5 +242,6 @@
     routesReply @21 :RoutesReply;
     keepJob @22 :KeepJob;
     jobKept @23 :JobKept;
+    keptConfirmed @24 :KeptConfirmed;
   }
 }
--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -49,11 +49,14 @@
 
     records: dict[str, EntryRecord] = attrs.field(factory=dict)
     renewed_at: dict[str, float] = attrs.field(factory=dict)
+    _zones: frozenset[str] | None = None
 
     @property
     def zones(self) -> frozenset[str]:
         """The availability zones that have dispatchers."""
-        return frozenset(r.zone for r in self.records.values())
+        if self._zones is None:
+            self._zones = frozenset(r.zone for r in self.records.values())
+        return self._zones
 
     def apply(self, key: str, value: bytes, now: float) -> None:
         """Applies one record; an empty value deletes the record of the key.
@@ -61,6 +64,7 @@
         Raises:
             ValueError: The value is malformed.
         """
+        self._zones = None
         if not value:
             self.records.pop(key, None)
             self.renewed_at.pop(key, None)
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -21,6 +21,7 @@
 from acacialine import events
 from acacialine import ids
 from acacialine import intake as intake_lib
+from acacialine import leases
 from acacialine import linkmanager as linkmanager_lib
 from acacialine import links
 from acacialine import messages
@@ -31,6 +32,7 @@
 from acacialine import prometheusmetrics as prometheusmetrics_lib
 from acacialine import routes
 from acacialine import storereader
+from acacialine import zonetables
 from acacialine.platform import ingress
 
 BUSY_TICK_INTERVAL_S = 0.02  # while requests or runs are open
@@ -72,6 +74,8 @@
             None.
         store_reader: Follows the store.
         link_manager: Maintains the links to other dispatchers.
+        remote_jobs: Jobs that the placer of this zone told the candidates of,
+            by id; used if this dispatcher becomes the placer.
     """
 
     settings: dispatchsettings.Settings
@@ -89,6 +93,7 @@
     meters: prometheusmetrics_lib.PrometheusMetrics = attrs.field(
         factory=prometheusmetrics_lib.PrometheusMetrics
     )
+    remote_jobs: dict[str, zonetables.RemoteJob] = attrs.field(factory=dict)
     _nursery: trio.Nursery = attrs.field(init=False)
     _wake_event: trio.Event = attrs.field(factory=trio.Event)
     _stop_requested: trio.Event = attrs.field(factory=trio.Event)
@@ -100,7 +105,12 @@
     def __attrs_post_init__(self):
         now = clock.now()
         zone = self.settings.dispatcher.zone
-        self.intake = intake_lib.Intake(zone)
+        self.intake = intake_lib.Intake(
+            zone,
+            lease_times=leases.LeaseTimes(
+                self.settings.placement.lease_ms / 1000
+            ),
+        )
         self.ownership = ownership_lib.Ownership(
             self.my_id,
             self.started,
@@ -245,7 +255,7 @@
                 await trio.sleep(
                     min(took_s * SLOW_TICK_PAUSE_FACTOR, BUSY_TICK_INTERVAL_S)
                 )
-            busy = self.intake.requests or (
+            busy = self.intake.is_busy or (
                 self.placer_host and self.placer_host.is_busy
             )
             with trio.move_on_after(
@@ -261,7 +271,9 @@
                 self.placer_host.resume_after_pause()
         self._last_tick_at = now
         self._update_ownership(now)
-        self.intake.zones = self.store_reader.directory.zones
+        self.intake.zones = self.store_reader.directory.zones.union(
+            self.settings.dispatcher.zones
+        )
         self.intake.update_placers(self._reachable_placers(now), now)
         self.intake.tick(now)
         for order in self.intake.take_orders():
@@ -304,6 +316,7 @@
             self, epoch, self._nursery, now
         )
         self.placer_host.apply_servers(now)
+        self.store_reader.request_servers()
         self.store_reader.request_record_write()
 
     def _give_up_ownership(self, reason: str) -> None:
@@ -361,18 +374,20 @@
                     link.post(messages.CancelJob(job_id, reason))
             case intake_lib.KeepJob(peer_id, job_id):
                 if peer_id == self.my_id and self.placer_host is not None:
-                    self.placer_host.keep_job(job_id)
+                    self._keep_job(job_id)
                     return
                 link = self.hub.find_open_link(peer_id)
                 if link is not None:
                     link.post(messages.KeepJob(job_id))
             case intake_lib.AnnounceKeptJob(peer_id, job_id, zone):
+                message = messages.JobKept(job_id, zone, False)
                 if peer_id == self.my_id and self.placer_host is not None:
-                    self.placer_host.record_remote_job(job_id, zone)
+                    self._receive_kept_job(message)
+                    self.intake.confirm_kept_job(peer_id, job_id)
                     return
                 link = self.hub.find_open_link(peer_id)
                 if link is not None:
-                    link.post(messages.JobKept(job_id, zone))
+                    link.post(message)
             case intake_lib.LogEvent(event, fields):
                 self.log(event, **fields)
 
@@ -384,6 +399,37 @@
         """
         self._receive_verdict(self.my_id, message)
 
+    def _keep_job(self, job_id: str) -> None:
+        """Keeps a job running at the placer in this process."""
+        self.placer_host.keep_job(job_id)
+        self.share_job(job_id)
+
+    def share_job(self, job_id: str) -> None:
+        """Tells the candidates of this zone of a job that may run here."""
+        self._relay_kept_job(job_id, self.zone)
+
+    def _relay_kept_job(self, job_id: str, zone: str) -> None:
+        message = messages.JobKept(job_id, zone, True)
+        for link in self.hub.dialled_links.values():
+            if link.is_open and link.heartbeat.zone == self.zone:
+                link.post(message)
+
+    def _receive_kept_job(self, message: messages.JobKept) -> None:
+        """Records where a job may run, here and at the other candidates."""
+        now = clock.now()
+        zonetables.drop_expired_remote_jobs(self.remote_jobs, now)
+        zonetables.record_remote_job(
+            self.remote_jobs,
+            message.job_id,
+            message.zone,
+            now + placer_lib.KEPT_JOB_S + self.intake.lease_times.lost_owner_s,
+        )
+        if self.placer_host is None:
+            return
+        self.placer_host.record_remote_job(message.job_id, message.zone)
+        if not message.is_relayed:
+            self._relay_kept_job(message.job_id, message.zone)
+
     # Peers
 
     def _build_zone_state(self, is_reply: bool) -> messages.ZoneState:
@@ -448,6 +494,8 @@
                     link.post(messages.RoutesCall(version))
             case messages.JobVerdict():
                 self._receive_verdict(link.peer_id, message)
+            case messages.KeptConfirmed(job_id):
+                self.intake.confirm_kept_job(link.peer_id, job_id)
             case messages.RoutesReply():
                 self.store_reader.apply_from_peer(message, link.peer_id)
 
@@ -483,10 +531,11 @@
                     self.placer_host.cancel(job_id, session.outbox, reason)
             case messages.KeepJob(job_id):
                 if self.placer_host is not None:
-                    self.placer_host.keep_job(job_id)
-            case messages.JobKept(job_id, zone):
-                if self.placer_host is not None:
-                    self.placer_host.record_remote_job(job_id, zone)
+                    self._keep_job(job_id)
+            case messages.JobKept(job_id):
+                self._receive_kept_job(message)
+                if self.placer_host is not None and not message.is_relayed:
+                    session.outbox.post(messages.KeptConfirmed(job_id))
             case messages.RoutesCall(version):
                 config = self.configuration
                 if config is not None and config.version > version:
@@ -558,7 +607,8 @@
     def reload(self, text: str, source: str) -> None:
         """Applies changed settings and logs whether a restart is needed.
 
-        In section [dispatcher] only `seeds` applies without a restart.
+        In section [dispatcher] only `seeds` applies without a restart, and
+        `lease_ms` of section [placement] needs one.
         Invalid settings are logged and ignored.
         """
         try:
@@ -575,8 +625,15 @@
         changed = attrs.evolve(
             settings,
             dispatcher=attrs.evolve(current, seeds=settings.dispatcher.seeds),
+            # Leases of the earlier length are out until a restart.
+            placement=attrs.evolve(
+                settings.placement, lease_ms=self.settings.placement.lease_ms
+            ),
+        )
+        needs_restart = (changed.dispatcher, changed.placement) != (
+            settings.dispatcher,
+            settings.placement,
         )
-        needs_restart = changed.dispatcher != settings.dispatcher
         if settings.store.address != self.settings.store.address:
             self.store_reader.set_store_address(settings.store.address)
         self.settings = changed
--- a/acacialine/dispatchsettings.py
+++ b/acacialine/dispatchsettings.py
@@ -58,6 +58,13 @@
             "",
             "Peer addresses used while fewer than two dispatchers are known.",
         ),
+        ini.Option(
+            "zones",
+            ini.words,
+            "",
+            "All availability zones that have dispatchers; zones in the store"
+            " are added.",
+        ),
         ini.Option(
             "peer_keys",
             ini.words,
@@ -102,7 +109,7 @@
             ini.integer(50, 30000),
             "400",
             "Timeout of a long poll of a backend server for the end of a run,"
-            " in ms; keep it well below lease_ms.",
+            " in ms; at most 0.4 of lease_ms is used.",
         ),
         ini.Option(
             "late_share",
@@ -138,6 +145,7 @@
     cores: float
     cpu_share: float
     seeds: tuple[tuple[str, int], ...]
+    zones: tuple[str, ...]
     peer_keys: tuple[str, ...]
 
     @property
--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -12,8 +12,8 @@
 import attrs
 
 from acacialine import events
+from acacialine import leases
 from acacialine import placer as placer_lib
-from acacialine import zoneruns
 from acacialine import zonetables
 
 DEADLINE_MARGIN_S = 0.04  # for the answer to reach its client in time
@@ -26,6 +26,9 @@
 SPILL_FREE_SLOTS = 4
 REPORT_MAX_AGE_S = 1.5  # older reports of free slots are ignored
 DEFAULT_RETRY_AFTER_S = 1.0  # if no placer predicts when slots become free
+# All placers must have confirmed a kept job by then, else it is cancelled. With
+# the longest lease this ends before a client sends its job again.
+KEEP_CONFIRM_TIMEOUT_S = 0.2
 
 
 class AnswerKind(enum.Enum):
@@ -94,6 +97,28 @@
     not_before: float = 0.0
 
 
+@attrs.define(eq=False)
+class KeptJob:
+    """A job that runs on after its clients were answered 504.
+
+    It goes on only while the placers of all other zones know of it, because
+    its client may send it again to any zone.
+
+    Attributes:
+        placer: The placer that runs it.
+        others: The placers of the other zones, by zone.
+        unconfirmed: Zones whose placers have not confirmed that they know.
+        confirm_until: When all must have confirmed.
+        until: When its placer ends it.
+    """
+
+    placer: PlacerInfo
+    others: dict[str, PlacerInfo]
+    unconfirmed: set[str]
+    confirm_until: float
+    until: float
+
+
 @attrs.frozen
 class HandOverJob:
     """Order to send a job to a placer."""
@@ -121,7 +146,7 @@
 
 @attrs.frozen
 class AnnounceKeptJob:
-    """Order to tell a placer which other zone keeps running a job."""
+    """Order to tell a placer which other zone may run a job."""
 
     peer_id: str
     job_id: str
@@ -147,16 +172,25 @@
         zone: The availability zone of this dispatcher.
         requests: The open requests by job id.
         placers: The reachable placers by zone.
-        zones: The zones that have dispatchers, reachable or not.
+        zones: The zones that have dispatchers, reachable or not; empty if
+            not known yet.
+        lease_times: Times that follow from the length of the leases.
     """
 
     zone: str
     requests: dict[str, Request] = attrs.field(factory=dict)
     placers: dict[str, PlacerInfo] = attrs.field(factory=dict)
     zones: frozenset[str] = frozenset()
+    lease_times: leases.LeaseTimes = attrs.field(factory=leases.LeaseTimes)
     _orders: list = attrs.field(factory=list)
+    _kept_jobs: dict[str, KeptJob] = attrs.field(factory=dict)
     _spilled_tasks: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a tick may be due soon."""
+        return bool(self.requests or self._kept_jobs)
+
     def take_orders(self) -> list:
         """Returns and clears the orders that the dispatcher is to execute."""
         taken, self._orders = self._orders, []
@@ -197,9 +231,26 @@
         request.callbacks.remove(notify)
         if not request.callbacks:
             self._cancel_at_placer(request, "caller left")
+            self._announce_spilled_job(request)
             self._log(events.Event.REQUEST_ABANDONED, job=job_id)
             del self.requests[job_id]
 
+    def _announce_spilled_job(self, request: Request) -> None:
+        """Tells the local placer where a job ran whose clients have left.
+
+        Otherwise it would treat the job as one that never ran if the client
+        sends it again.
+        """
+        local = self.placers.get(self.zone)
+        assigned = request.placer
+        if assigned is None or local is None or assigned.zone == self.zone:
+            return
+        self._orders.append(
+            AnnounceKeptJob(
+                local.peer_id, request.submission.job_id, assigned.zone
+            )
+        )
+
     def cancel(self, job_id: str) -> bool:
         """Cancels a job; returns whether it was known."""
         request = self.requests.get(job_id)
@@ -223,11 +274,7 @@
             assigned = request.placer
             if assigned is None:
                 continue
-            current = placers.get(assigned.zone)
-            if current is None or (current.peer_id, current.epoch) != (
-                assigned.peer_id,
-                assigned.epoch,
-            ):
+            if not _is_same_placer(assigned, placers.get(assigned.zone)):
                 self._record_placer_loss(request, now)
         # A newer report of a zone already counts the tasks spilled there.
         self._spilled_tasks = {
@@ -258,44 +305,88 @@
         request.placer_lost_zone = lost.zone
 
     def tick(self, now: float) -> None:
-        """Answers expired requests and hands over those without a placer."""
+        """Answers expired requests and hands over those without a placer.
+
+        Also cancels kept jobs that a zone may not know of.
+        """
+        for job_id in list(self._kept_jobs):
+            self._check_kept_job(job_id, now)
         for request in list(self.requests.values()):
             if now >= request.deadline_at:
-                self._expire(request)
+                self._expire(request, now)
             elif request.placer is None and now >= request.not_before:
                 self._hand_over(request, now)
 
-    def _expire(self, request: Request) -> None:
+    def _expire(self, request: Request, now: float) -> None:
         """Answers a request whose deadline has passed."""
         if request.placer is None and not request.handovers:
             answer = Answer(
                 AnswerKind.NOT_RUN, "no placer in time", DEFAULT_RETRY_AFTER_S
             )
         else:
-            self._keep_running(request)
+            self._keep_running(request, now)
             answer = Answer(AnswerKind.UNKNOWN, "deadline")
         self._answer(request, answer)
 
-    def _keep_running(self, request: Request) -> None:
+    def _keep_running(self, request: Request, now: float) -> None:
         """Keeps an expired job running for the client's retry after a 504.
 
         The retry may arrive in any zone and would run the job a second time
-        if that zone did not know of it. The job is cancelled unless the
-        placers of all zones can be told.
+        if that zone did not know of it. The job is cancelled unless all zones
+        are known and their placers can be told.
         """
         assigned = request.placer
         if assigned is None:
             return
-        if not self.zones <= self.placers.keys():
+        if not self.zones or not self.zones <= self.placers.keys():
             self._cancel_at_placer(request, "deadline")
             return
         job_id = request.submission.job_id
         self._orders.append(KeepJob(assigned.peer_id, job_id))
-        for placer in self.placers.values():
-            if placer.zone != assigned.zone:
-                self._orders.append(
-                    AnnounceKeptJob(placer.peer_id, job_id, assigned.zone)
-                )
+        others = {
+            zone: placer
+            for zone, placer in self.placers.items()
+            if zone != assigned.zone
+        }
+        for placer in others.values():
+            self._orders.append(
+                AnnounceKeptJob(placer.peer_id, job_id, assigned.zone)
+            )
+        self._kept_jobs[job_id] = KeptJob(
+            assigned,
+            others,
+            set(others),
+            now + KEEP_CONFIRM_TIMEOUT_S,
+            now + placer_lib.KEPT_JOB_S,
+        )
+
+    def confirm_kept_job(self, peer_id: str, job_id: str) -> None:
+        """Records that a placer of another zone knows of a kept job."""
+        kept = self._kept_jobs.get(job_id)
+        if kept is None:
+            return
+        kept.unconfirmed -= {
+            zone for zone, p in kept.others.items() if p.peer_id == peer_id
+        }
+
+    def _check_kept_job(self, job_id: str, now: float) -> None:
+        """Cancels a kept job if the placer of another zone may not know of it.
+
+        It may have lost the message, or another one may have taken over.
+        """
+        kept = self._kept_jobs[job_id]
+        if now >= kept.until:
+            del self._kept_jobs[job_id]
+            return
+        is_unknown = kept.unconfirmed and now >= kept.confirm_until
+        if is_unknown or any(
+            not _is_same_placer(placer, self.placers.get(zone))
+            for zone, placer in kept.others.items()
+        ):
+            del self._kept_jobs[job_id]
+            self._orders.append(
+                CancelJob(kept.placer.peer_id, job_id, "zone may not know")
+            )
 
     def _hand_over(self, request: Request, now: float) -> None:
         """Hands a job over to a placer, if a suitable one is reachable.
@@ -306,7 +397,7 @@
         local = self.placers.get(self.zone)
         any_zone_allowed = (
             request.placer_lost_at is None
-            or now - request.placer_lost_at > zoneruns.LOST_OWNER_TIMEOUT_S
+            or now - request.placer_lost_at > self.lease_times.lost_owner_s
         )
         if any_zone_allowed:
             if local is not None:
@@ -449,3 +540,11 @@
 
     def _log(self, event: events.Event, **fields) -> None:
         self._orders.append(LogEvent(event, fields))
+
+
+def _is_same_placer(first: PlacerInfo, second: PlacerInfo | None) -> bool:
+    """Returns whether both are the same claim of the same dispatcher."""
+    return second is not None and (first.peer_id, first.epoch) == (
+        second.peer_id,
+        second.epoch,
+    )
--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -11,6 +11,38 @@
 SLOWEST_CLOCK_RATE = 0.98  # monotonic clocks may run 2% slow on the platform
 
 
+# Margin for the delay of the order or poll that renews a lease.
+RENEWAL_MARGIN_S = 0.08
+# Time after which a run of an earlier owner is stopped unless a dispatcher
+# has handed over its job.
+ADOPTION_TIMEOUT_S = 0.25
+
+
+@attrs.frozen
+class LeaseTimes:
+    """Times that follow from the length of the leases, in s.
+
+    Attributes:
+        length_s: Length of each lease; all owners use the same.
+    """
+
+    length_s: float = 1.0
+
+    @property
+    def max_lease_s(self) -> float:
+        """Time after which a lease has ended, also on the slowest clock."""
+        return self.length_s / SLOWEST_CLOCK_RATE + RENEWAL_MARGIN_S
+
+    @property
+    def lost_owner_s(self) -> float:
+        """Time after which all runs of a lost owner have ended.
+
+        A successor may list a run just before its lease ends, renew the lease
+        until the adoption timeout and then lose the backend server.
+        """
+        return 2 * self.max_lease_s + ADOPTION_TIMEOUT_S
+
+
 @attrs.frozen
 class Lease:
     """The end of a lease on two clocks.
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -486,10 +486,27 @@
 
 @attrs.frozen
 class JobKept:
-    """Notice that another zone keeps a job running past its deadline."""
+    """Notice that a zone may run a job for which no client waits now.
+
+    A dispatcher sends it to the placers of other zones, which confirm it. A
+    placer sends it to the candidates of its zone, one of which may succeed it.
+
+    Attributes:
+        job_id: The job.
+        zone: The zone that may run it.
+        is_relayed: Whether a placer sends it to the candidates of its zone.
+    """
 
     job_id: str
     zone: str
+    is_relayed: bool
+
+
+@attrs.frozen
+class KeptConfirmed:
+    """Confirmation that a placer has received a `JobKept`."""
+
+    job_id: str
 
 
 @attrs.frozen
@@ -554,6 +571,7 @@
     | CancelJob
     | KeepJob
     | JobKept
+    | KeptConfirmed
     | JobVerdict
     | RoutesCall
     | RoutesReply
--- a/acacialine/orders.py
+++ b/acacialine/orders.py
@@ -56,6 +56,17 @@
     retry_after_s: float = 0.0
 
 
+@attrs.frozen
+class ShareJob:
+    """Order: tell the candidates of the zone of a job that may have run.
+
+    If one of them succeeds this placer and the job is sent again, it must not
+    treat the job as one that never ran.
+    """
+
+    job_id: str
+
+
 @attrs.frozen
 class LogDecision:
     """Order: write one line to the log."""
@@ -64,7 +75,7 @@
     fields: dict
 
 
-Order = StartRun | StopRun | AnswerJob | LogDecision
+Order = StartRun | StopRun | AnswerJob | ShareJob | LogDecision
 
 
 @attrs.frozen
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -10,6 +10,7 @@
 import attrs
 
 from acacialine import events
+from acacialine import leases
 from acacialine import orders as orders_lib
 from acacialine import schedule
 from acacialine import serverhealth
@@ -127,7 +128,14 @@
             self._log(events.Event.ZONE_JOB_ATTACHED, job=job.id)
             return
         remote = tables.remote_jobs.get(submission.job_id)
-        if remote is not None and now < remote.until:
+        if remote is not None and now >= remote.until:
+            remote = None
+        if remote is not None and remote.zone == tables.zone:
+            # An earlier owner of this zone may have started it.
+            submission = attrs.evolve(
+                submission, handovers=max(1, submission.handovers)
+            )
+        elif remote is not None:
             self._orders.append(
                 orders_lib.AnswerJob(
                     (origin,),
@@ -195,6 +203,10 @@
         job.waiting.extend(range(submission.step.count))
         if ended_job:
             job.next_run_number.update(ended_job.next_run_number)
+            if ended_job.verdict != zonetables.Verdict.NOT_RUN:
+                # It ran before its clients left, so it can't be refused as
+                # not run.
+                job.possible_starts = 1
         if submission.handovers:
             # Start orders of an earlier owner may have taken effect, and its
             # leases may still be valid on servers not polled yet.
@@ -203,7 +215,9 @@
             for index in range(submission.step.count):
                 number = job.next_run_number.get(index, 1)
                 job.next_run_number[index] = max(first_number, number)
-            job.hold_until = self.owned_since + zoneruns.MAX_LEASE_S
+            job.hold_until = (
+                self.owned_since + self.runs.lease_times.max_lease_s
+            )
         return job
 
     def _refuse_job(
@@ -262,13 +276,17 @@
         self._log(events.Event.ZONE_JOB_KEPT, job=job.id)
 
     def record_remote_job(self, job_id: str, zone: str, now: float) -> None:
-        """Records that another zone keeps running a job past its deadline.
+        """Records that a zone may run a job for which no client waits now.
 
-        The job must not start here until its runs there have ended.
+        In another zone than `zone` the job must not start until its runs
+        there have ended. A successor in that zone treats it as handed over.
         """
-        until = now + KEPT_JOB_S + zoneruns.LOST_OWNER_TIMEOUT_S
-        self.tables.remote_jobs.pop(job_id, None)
-        self.tables.remote_jobs[job_id] = zonetables.RemoteJob(zone, until)
+        zonetables.record_remote_job(
+            self.tables.remote_jobs,
+            job_id,
+            zone,
+            now + KEPT_JOB_S + self.runs.lease_times.lost_owner_s,
+        )
 
     def remove_origin(self, origin, may_return: bool, now: float) -> None:
         """Removes the session of an unreachable dispatcher from all jobs.
@@ -314,6 +332,8 @@
         for run in list(job.runs.values()):
             self.runs.stop(run, now)
         job.waiting.clear()
+        if verdict is None and job.possible_starts:
+            self._orders.append(orders_lib.ShareJob(job.id))
         if verdict != zonetables.Verdict.NOT_RUN or job.next_run_number:
             # Removed first, so that the table stays in the order of the ends.
             self.tables.ended_jobs.pop(job.id, None)
@@ -403,7 +423,10 @@
             for j in self.tables.jobs.values()
             if j.waiting
             and now >= j.not_before
-            and (all_runs_known or now >= j.hold_until)
+            and (
+                now >= j.hold_until
+                or (all_runs_known and j.arrived_at > self.runs.unknown_before)
+            )
         ]
         if not waiting:
             return
@@ -527,10 +550,7 @@
 
     def _drop_expired_records(self, now: float) -> None:
         tables = self.tables
-        for job_id, remote in list(tables.remote_jobs.items()):
-            if now < remote.until:
-                break  # entries are in order of expiry
-            del tables.remote_jobs[job_id]
+        zonetables.drop_expired_remote_jobs(tables.remote_jobs, now)
         for table, retention_s in (
             (tables.ended_jobs, zonetables.ENDED_JOBS_RETENTION_S),
             (tables.unclaimed_ends, zonetables.ENDED_JOBS_RETENTION_S),
@@ -631,7 +651,15 @@
     )
 
 
-def new_placer(zone: str, late_share: float, now: float) -> Placer:
+def new_placer(
+    zone: str,
+    late_share: float,
+    now: float,
+    lease_times: leases.LeaseTimes | None = None,
+) -> Placer:
     """Returns a placer that becomes the owner of a zone's servers now."""
     tables = zonetables.ZoneTables(zone)
-    return Placer(tables, zoneadmission.Admission(tables, late_share), now)
+    placer = Placer(tables, zoneadmission.Admission(tables, late_share), now)
+    if lease_times is not None:
+        placer.runs.lease_times = lease_times
+    return placer
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -9,6 +9,7 @@
 
 from acacialine import clock
 from acacialine import events
+from acacialine import leases
 from acacialine import messages
 from acacialine import orders as orders_lib
 from acacialine import placer as placer_lib
@@ -23,10 +24,9 @@
 ACKNOWLEDGE_POLL_DELAY_S = 0.5
 # Interval between polls of an incarnation that the store does not list yet.
 UNANNOUNCED_POLL_INTERVAL_S = 0.3
-# Once the last removal from the server list is older than this, an earlier
-# placer has no runs on a removed server. This time covers two reads of the list
-# by a follower and a lease.
-MIN_REMOVAL_AGE_S = 3.0
+# Longest wait of a poll for the end of a run, as a share of the lease that the
+# next poll renews.
+LOOK_WAIT_MAX_SHARE = 0.4
 POLL_RETRY_S = 0.1
 POLL_RETRY_MAX_S = 0.8
 FREE_SLOTS_MAX_AGE_S = 0.05  # heartbeats report a count at most this old
@@ -188,6 +188,11 @@
             if server_id not in servers:
                 self._pollers.pop(server_id).cancel_scope.cancel()
 
+    def record_list_read(self, sent_at: float) -> None:
+        """Records that the list of servers was read by a request sent then."""
+        if sent_at >= self.placer.owned_since:
+            self.placer.runs.is_list_current = True
+
     def _add_poller(self, server: zonetables.Server) -> None:
         settings = self._dispatcher.settings.placement
         client = serverclient.ServerClient(
@@ -222,6 +227,8 @@
                 )
                 for origin in order.origins:
                     origin.post(message)
+            case orders_lib.ShareJob(job_id):
+                self._dispatcher.share_job(job_id)
             case orders_lib.LogDecision(event, fields):
                 self._dispatcher.log(event, **fields)
 
@@ -266,10 +273,13 @@
         """
         settings = self._dispatcher.settings.placement
         server = poller.client.server
+        lease_s = poller.client.lease_s
         retry_s = POLL_RETRY_S
         with poller.cancel_scope:
             while not self._is_closed:
-                wait_s = settings.look_wait_ms / 1000
+                wait_s = min(
+                    settings.look_wait_ms / 1000, lease_s * LOOK_WAIT_MAX_SHARE
+                )
                 if not server.runs_listed:
                     wait_s = 0.0
                 elif not server.runs:
@@ -345,10 +355,17 @@
 def new_placer_host(dispatcher, epoch: int, nursery: trio.Nursery, now: float):
     """Creates the placer of the dispatcher's zone and its host."""
     settings = dispatcher.settings.placement
-    placer = placer_lib.new_placer(dispatcher.zone, settings.late_share, now)
-    # Runs of an earlier placer expire 1 s after it loses a server.
-    removal_age_s = now - dispatcher.store_reader.server_removed_at
-    placer.runs.is_server_list_stable = removal_age_s > MIN_REMOVAL_AGE_S
+    lease_times = leases.LeaseTimes(settings.lease_ms / 1000)
+    placer = placer_lib.new_placer(
+        dispatcher.zone, settings.late_share, now, lease_times
+    )
+    placer.runs.is_list_current = False
+    placer.runs.unknown_before = (
+        dispatcher.store_reader.server_removed_at
+        + dispatcher.store_reader.removal_delay_s
+        + lease_times.max_lease_s
+    )
+    placer.tables.remote_jobs.update(dispatcher.remote_jobs)
     return PlacerHost(placer, epoch, dispatcher=dispatcher, nursery=nursery)
 
 
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -39,7 +39,8 @@
     Attributes:
         configuration: The configuration in force; its version only increases.
         directory: Records of all dispatchers.
-        server_removed_at: When a backend server was last removed from the list.
+        server_removed_at: When a backend server was last removed from the
+            list, or the list was first read.
     """
 
     _dispatcher: object
@@ -55,6 +56,7 @@
     _config_store: store_lib.Store = attrs.field(init=False)
     _directory_store: store_lib.Store = attrs.field(init=False)
     _write_requested: trio.Event = attrs.field(factory=trio.Event)
+    _servers_requested: trio.Event = attrs.field(factory=trio.Event)
     _is_store_down: bool = False
 
     def __attrs_post_init__(self):
@@ -88,6 +90,19 @@
         """Requests that the record of this dispatcher is written soon."""
         self._write_requested.set()
 
+    def request_servers(self) -> None:
+        """Requests that the backend servers are read at once."""
+        self._servers_requested.set()
+
+    @property
+    def removal_delay_s(self) -> float:
+        """Time in s until all candidates know of a removed backend server.
+
+        It covers two reads of the list by a follower.
+        """
+        poll_s = self._dispatcher.settings.store.servers_poll_ms / 1000
+        return 2 * poll_s * FOLLOWER_POLL_FACTOR
+
     async def _follow(self, reader) -> None:
         """Runs a reader and restarts it after each failure of the store."""
         delay_s = MIN_RETRY_DELAY_S
@@ -194,14 +209,20 @@
 
     async def _read_servers(self) -> None:
         poll_s = self._dispatcher.settings.store.servers_poll_ms / 1000
+        sent_at = clock.now()
         latest = await self._server_store.read_latest(store_lib.SERVERS_TOPIC)
         offset = latest.next_offset
         self._replace_servers(latest.records)
         while True:
             self._note_store_success()
+            if self._dispatcher.placer_host is not None:
+                self._dispatcher.placer_host.record_list_read(sent_at)
             await self._await_candidacy()
             factor = 1 if self._dispatcher.placer_host else FOLLOWER_POLL_FACTOR
-            await trio.sleep(poll_s * factor)
+            with trio.move_on_after(poll_s * factor):
+                await self._servers_requested.wait()
+            self._servers_requested = trio.Event()
+            sent_at = clock.now()
             page = await self._server_store.read(
                 store_lib.SERVERS_TOPIC, offset, 0.0
             )
@@ -229,6 +250,9 @@
         holdoff after an outage of the store.
         """
         now = clock.now()
+        if not self._servers:
+            # Which servers left before is not known.
+            self.server_removed_at = now
         present = {r.key for r in keyed_records if r.value}
         for record in keyed_records:
             self._apply_server(record)
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -155,6 +155,7 @@
         self.assertIn(intake_lib.AnnounceKeptJob("p2", JOB, "zone-a"), orders)
 
     def test_a_spilled_job_that_is_kept_is_announced_to_the_local_zone(self):
+        self.intake.zones = frozenset({"zone-a", "zone-b"})
         self.set_placers(0.0, placer(), placer("p2", "zone-b", free=20))
         self.receive(left_s=0.5)
         self.receive_verdict("p1", "not_run", "overloaded")
@@ -170,6 +171,53 @@
         (order,) = self.cancel_orders(0.5)
         self.assertEqual(order.peer_id, "p1")
 
+    def test_a_job_is_not_kept_while_the_zones_are_unknown(self):
+        self.set_placers(0.0, placer())
+        self.receive(left_s=0.5)
+        (order,) = self.cancel_orders(0.5)
+        self.assertEqual(order.peer_id, "p1")
+
+    def keep_job(self):
+        """Lets a job expire that is then kept in zone-a."""
+        self.intake.zones = frozenset({"zone-a", "zone-b"})
+        self.set_placers(0.0, placer(), placer("p2", "zone-b"))
+        self.receive(left_s=0.5)
+        self.assertEqual(self.cancel_orders(0.5), [])
+
+    def test_a_kept_job_that_a_zone_does_not_confirm_is_cancelled(self):
+        self.keep_job()
+        self.assertEqual(self.cancel_orders(0.6), [])
+        (order,) = self.cancel_orders(0.75)
+        self.assertEqual(order.peer_id, "p1")
+        self.assertFalse(self.intake.is_busy)
+
+    def test_a_confirmed_kept_job_runs_on(self):
+        self.keep_job()
+        self.intake.confirm_kept_job("p2", JOB)
+        for now in (0.75, 2.0, 3.0):
+            self.assertEqual(self.cancel_orders(now), [])
+        self.assertFalse(self.intake.is_busy)
+
+    def test_a_kept_job_is_cancelled_when_another_zone_loses_its_placer(self):
+        self.keep_job()
+        self.intake.confirm_kept_job("p2", JOB)
+        self.set_placers(0.9, placer(), placer("p3", "zone-b", epoch=2))
+        (order,) = self.cancel_orders(0.9)
+        self.assertEqual((order.peer_id, order.job_id), ("p1", JOB))
+
+    def test_the_local_placer_learns_where_an_abandoned_job_ran(self):
+        # Else it refuses the job as not run when its client sends it again.
+        self.set_placers(0.0, placer(), placer("p2", "zone-b", free=20))
+        notify = self.answers.append
+        self.intake.receive(build.submission(), notify, 0.0)
+        self.tick(0.0)
+        self.receive_verdict("p1", "not_run", "overloaded")
+        self.intake.remove_client(JOB, notify)
+        self.assertIn(
+            intake_lib.AnnounceKeptJob("p1", JOB, "zone-b"),
+            self.intake.take_orders(),
+        )
+
     def cancel_orders(self, now):
         self.intake.tick(now)
         return self.take_orders(intake_lib.CancelJob)
--- /dev/null
+++ b/acacialine/tests/test_kept_jobs.py
@@ -0,0 +1,349 @@
+"""Jobs that are sent again to any zone, after no answer or a 504.
+
+Two zones on one virtual clock: placers are killed or paused and replaced,
+links break with what is on its way, orders to backend servers are lost or
+late, and clients leave or send a job again 1.3 s after a 504. No task may run
+twice at once, whichever zone the job comes to, and no job may be refused as
+not run while a task of it has started.
+"""
+
+import itertools
+import os
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from acacialine import intake as intake_lib
+from acacialine import zonetables
+from acacialine.tests import zonebuilders as build
+from acacialine.tests import zonesimulation
+
+TICK_S = 0.01
+END_S = 8.0
+RETRY_DELAY_S = 1.3  # retransmitMs of the platform
+ZONES = ("zone-a", "zone-b")
+SERVERS_PER_ZONE = 2
+EXAMPLES = int(os.environ.get("ACACIALINE_EXAMPLES", "25"))
+
+
+class Zone:
+    """A zone: its placer, and what the candidates to succeed it know."""
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.known_jobs = {}
+
+
+class Link:
+    """The link of a dispatcher to the placer of a zone.
+
+    `session` is the origin of the jobs sent on the current connection.
+    """
+
+    def __init__(self, dispatcher, zone):
+        self.dispatcher = dispatcher
+        self.zone = zone
+        self.generation = 0
+        self.down_until = 0.0
+
+    @property
+    def session(self):
+        return (self.dispatcher, self.zone, self.generation)
+
+
+class Simulation(zonesimulation.Network):
+    """Two zones, each with one dispatcher and successive placers."""
+
+    def __init__(self, seed, fault_rate):
+        super().__init__(seed, fault_rate)
+        for zone in ZONES:
+            for number in range(SERVERS_PER_ZONE):
+                self.server_pool.add(f"{zone}-{number}", 16000)
+        self.zones = {
+            z: Zone(zonesimulation.Owner(self, 1, 0.0, z)) for z in ZONES
+        }
+        self.former_owners = []
+        self.intakes = {z: intake_lib.Intake(z) for z in ZONES}
+        self.links = {(d, z): Link(d, z) for d in ZONES for z in ZONES}
+        self.refusals = {}
+        self.kept_count = 0
+
+    def servers_of(self, zone):
+        servers = self.server_pool.servers.values()
+        return [s for s in servers if s.id.startswith(zone)]
+
+    # Links
+
+    def is_up(self, link):
+        owner = self.zones[link.zone].owner
+        return (
+            owner is not None
+            and not owner.is_closed
+            and self.now >= max(link.down_until, owner.paused_until)
+        )
+
+    def send(self, link, deliver):
+        """Delivers a message unless the link breaks before."""
+        generation = link.generation
+        owner = self.zones[link.zone].owner
+
+        def arrive(at):
+            is_same = self.zones[link.zone].owner is owner
+            if is_same and generation == link.generation and self.is_up(link):
+                deliver(owner, at)
+
+        if self.is_up(link):
+            delay_s = self.random.uniform(0.0005, 0.003)
+            self.at(self.now + delay_s, arrive)
+
+    def break_link(self, link):
+        """Loses all that is on its way and the jobs of the session."""
+        owner = self.zones[link.zone].owner
+        session = link.session
+        link.generation += 1
+        link.down_until = self.now + self.random.uniform(0.05, 0.6)
+        if owner is not None and not owner.is_closed:
+            owner.placer.remove_origin(session, True, self.now)
+
+    # Placers
+
+    def answer(self, owner, order):
+        for dispatcher, zone, generation in order.origins:
+            link = self.links[(dispatcher, zone)]
+
+            def deliver(current, at, link=link, generation=generation):
+                if link.generation == generation and current is owner:
+                    self.intakes[link.dispatcher].receive_verdict(
+                        self.peer_id(link.zone),
+                        order.job_id,
+                        order.verdict.value,
+                        order.reason,
+                        order.retry_after_s,
+                        at,
+                    )
+
+            self.send(link, deliver)
+
+    def share(self, owner, job_id):
+        zone = owner.placer.tables.zone
+        self._tell_candidates(zone, job_id, zone)
+
+    def _tell_candidates(self, zone, job_id, running_zone):
+        until = self.now + 2.0 + build.LEASE_TIMES.lost_owner_s
+        zonetables.record_remote_job(
+            self.zones[zone].known_jobs, job_id, running_zone, until
+        )
+
+    def hand_over_fenced(self, owner):
+        """A fenced owner hands its jobs back; the intakes notice by epoch."""
+
+    def take_over(self, zone_name):
+        zone = self.zones[zone_name]
+        former = zone.owner
+        if former is None:
+            return
+        if self.random.random() < 0.5:
+            former.is_closed = True
+        else:
+            former.paused_until = self.now + self.random.uniform(0, 2)
+            self.former_owners.append(former)
+            for link in self.links.values():
+                if link.zone == zone_name:
+                    self.at(
+                        self.now + 1.0,
+                        lambda at, s=link.session: former.placer.remove_origin(
+                            s, False, at
+                        ),
+                    )
+        zone.owner = None
+        for link in self.links.values():
+            if link.zone == zone_name:
+                link.generation += 1
+        self.at(
+            self.now + self.random.uniform(0.05, 0.7),
+            lambda at: self._own(zone_name, former.epoch + 1, at),
+        )
+
+    def _own(self, zone_name, epoch, now):
+        zone = self.zones[zone_name]
+        owner = zonesimulation.Owner(self, epoch, now, zone_name)
+        owner.placer.tables.remote_jobs.update(zone.known_jobs)
+        if self.random.random() < 0.5:
+            unreachable = self.random.choice(self.servers_of(zone_name))
+            owner.unreachable_until[unreachable.id] = now + 0.7
+        zone.owner = owner
+
+    # Dispatchers
+
+    def peer_id(self, zone):
+        return f"{zone}-{self.zones[zone].owner.epoch}"
+
+    def placers_of(self, dispatcher):
+        """Returns the placers that a dispatcher reaches, by zone."""
+        placers = {}
+        for zone in ZONES:
+            link = self.links[(dispatcher, zone)]
+            if self.is_up(link):
+                owner = self.zones[zone].owner
+                placers[zone] = intake_lib.PlacerInfo(
+                    self.peer_id(zone), zone, owner.epoch, 4, self.now
+                )
+        return placers
+
+    def tick_intake(self, dispatcher):
+        intake = self.intakes[dispatcher]
+        intake.zones = frozenset(ZONES)
+        intake.update_placers(self.placers_of(dispatcher), self.now)
+        intake.tick(self.now)
+        for order in intake.take_orders():
+            self.execute(dispatcher, order)
+
+    def execute(self, dispatcher, order):
+        match order:
+            case intake_lib.HandOverJob(placer, submission):
+                link = self.links[(dispatcher, placer.zone)]
+                session = link.session
+                self.send(
+                    link,
+                    lambda owner, at: owner.placer.submit(
+                        submission, session, at
+                    ),
+                )
+            case intake_lib.CancelJob(peer_id, job_id, reason):
+                link = self.link_to(dispatcher, peer_id)
+                session = link.session
+                self.send(
+                    link,
+                    lambda owner, at: owner.placer.cancel(
+                        job_id, session, reason, at
+                    ),
+                )
+            case intake_lib.KeepJob(peer_id, job_id):
+                link = self.link_to(dispatcher, peer_id)
+                self.send(link, lambda owner, at: self.keep(owner, job_id, at))
+            case intake_lib.AnnounceKeptJob(peer_id, job_id, zone):
+                link = self.link_to(dispatcher, peer_id)
+                self.send(
+                    link,
+                    lambda owner, at: self.announce(link, job_id, zone, at),
+                )
+
+    def link_to(self, dispatcher, peer_id):
+        return self.links[(dispatcher, peer_id.rpartition("-")[0])]
+
+    def keep(self, owner, job_id, now):
+        self.kept_count += 1
+        owner.placer.keep_job(job_id, now)
+        self.share(owner, job_id)
+
+    def announce(self, link, job_id, zone, now):
+        owner = self.zones[link.zone].owner
+        owner.placer.record_remote_job(job_id, zone, now)
+        self._tell_candidates(link.zone, job_id, zone)
+        peer_id = self.peer_id(link.zone)
+        self.send(
+            link,
+            lambda current, at: self.intakes[link.dispatcher].confirm_kept_job(
+                peer_id, job_id
+            ),
+        )
+
+    # Clients
+
+    def send_job(self, job, tries):
+        dispatcher = self.random.choice(ZONES)
+        intake = self.intakes[dispatcher]
+
+        def notify(answer):
+            self.refusals.setdefault(job.job_id, []).append(
+                answer.kind is intake_lib.AnswerKind.NOT_RUN
+            )
+            if answer.kind is intake_lib.AnswerKind.UNKNOWN:
+                self.send_again(job, tries)
+
+        intake.receive(job, notify, self.now)
+        if self.random.random() < 0.15:
+            leaves_at = self.now + self.random.uniform(0.02, 0.4)
+            self.at(
+                leaves_at, lambda at: self.leave(intake, job, notify, tries)
+            )
+
+    def leave(self, intake, job, notify, tries):
+        request = intake.requests.get(job.job_id)
+        if request is not None and notify in request.callbacks:
+            intake.remove_client(job.job_id, notify)
+            self.refusals.setdefault(job.job_id, []).append(False)
+            self.send_again(job, tries)
+
+    def send_again(self, job, tries):
+        if tries > 1:
+            self.at(
+                self.now + RETRY_DELAY_S,
+                lambda at: self.send_job(job, tries - 1),
+            )
+
+    def run(self):
+        numbers = itertools.count(1)
+        while self.now < END_S:
+            if self.now < END_S - 4 and self.random.random() < 0.06:
+                job_id = f"{next(numbers):016x}"
+                self.server_pool.job_length_s[job_id] = self.random.choice(
+                    (0.05, 0.3, 0.9, 1.6, 2.5)
+                )
+                job = build.submission(
+                    job_id,
+                    step=build.step(self.random.choice((1, 2))),
+                    left_s=0.6,
+                    queue=build.queue(target_latency_s=2.0),
+                )
+                self.send_job(job, 3)
+            if self.random.random() < 0.006:
+                self.take_over(self.random.choice(ZONES))
+            if self.random.random() < 0.02:
+                self.break_link(self.random.choice(list(self.links.values())))
+            for dispatcher in ZONES:
+                self.tick_intake(dispatcher)
+            for zone in self.zones.values():
+                if zone.owner is not None:
+                    zone.owner.tick(self.now)
+            for owner in self.former_owners:
+                owner.tick(self.now)
+            self.advance(TICK_S)
+        return self
+
+
+class KeptJobsTest(unittest.TestCase):
+    @hypothesis.settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @hypothesis.seed(20261204)
+    @hypothesis.given(
+        seed=strategies.integers(0, 2**32),
+        fault_rate=strategies.sampled_from((0.0, 0.05)),
+    )
+    def test_a_job_that_comes_again_never_runs_twice_at_once(
+        self, seed, fault_rate
+    ):
+        simulation = Simulation(seed, fault_rate).run()
+        self.assertEqual(simulation.server_pool.violations, [])
+        false_refusals = {
+            job_id
+            for job_id, refusals in simulation.refusals.items()
+            if all(refusals)
+        } & simulation.server_pool.started_jobs
+        self.assertEqual(false_refusals, set())
+
+    def test_seeds_that_failed(self):
+        # 115: a word that a zone keeps a job was lost with its link, and a
+        # successor there started the job; the others: a successor did not
+        # know the jobs that its predecessor had kept.
+        for seed, fault_rate in ((115, 0.05), (2, 0.0), (41, 0.05), (116, 0)):
+            simulation = Simulation(seed, fault_rate).run()
+            self.assertEqual(simulation.server_pool.violations, [])
+
+    def test_jobs_are_kept_and_sent_again(self):
+        simulation = Simulation(3, 0.0).run()
+        self.assertGreater(simulation.kept_count, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -264,6 +264,31 @@
         retried = build.starts(self.submit(placer, 1.4))
         self.assertEqual([r.number for r in retried], [2, 2])
 
+    def test_a_job_that_ran_before_its_client_left_is_not_refused(self):
+        # Guards against a client that is told that its job has not run
+        # although tasks of it had started.
+        placer = build.placer()
+        runs = build.starts(self.submit(placer))
+        self.confirm(placer, runs)
+        placer.cancel("00000000000000aa", "dispatcher", "caller left", 0.1)
+        self.assertIn(orders.ShareJob("00000000000000aa"), placer.take_orders())
+        new_orders = self.submit(placer, 0.2, left_s=0.05)
+        placer.tick(0.3)
+        placer.tick(0.7)
+        new_orders += placer.take_orders()
+        self.assertEqual(build.answers(new_orders), [])
+        self.assertEqual(placer.tables.jobs, {})
+
+    def test_a_job_kept_by_the_earlier_owner_waits_as_a_handed_over_one(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        placer.tables.servers["i-2"].runs_listed = False
+        placer.record_remote_job("00000000000000aa", "zone-a", 0.0)
+        self.assertEqual(build.starts(self.submit(placer, 0.1)), [])
+        placer.tick(1.2)
+        self.assertEqual(
+            [r.number for r in build.starts(placer.take_orders())], [17, 17]
+        )
+
     def test_a_failed_task_is_retried_on_another_server(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         run, *_ = build.starts(self.submit(placer, step=build.step(1)))
@@ -350,10 +375,25 @@
 
     def test_a_handed_over_job_waits_if_a_server_left_the_list(self):
         placer = build.placer()
-        placer.runs.is_server_list_stable = False
+        placer.runs.unknown_before = 0.2
+        self.assertEqual(
+            build.starts(self.submit(placer, 0.1, handovers=1)), []
+        )
+        # A job that arrived later can't have runs there.
+        later = self.submit(placer, 0.3, job_id="00000000000000bb", handovers=1)
+        self.assertEqual(len(build.starts(later)), 2)
+
+    def test_a_handed_over_job_waits_for_a_current_list_of_servers(self):
+        # The earlier owner may have started it on a server that the list of
+        # this one does not have yet.
+        placer = build.placer()
+        placer.runs.is_list_current = False
         self.assertEqual(
             build.starts(self.submit(placer, 0.1, handovers=1)), []
         )
+        placer.runs.is_list_current = True
+        placer.tick(0.12)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
     def test_tasks_listed_as_done_after_the_handover_count_too(self):
         placer = build.placer()
--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -8,6 +8,8 @@
 from acacialine import resources
 from acacialine import zonetables
 
+LEASE_TIMES = leases.LeaseTimes(1.0)
+
 
 def queue(**changes) -> zonetables.Queue:
     """Returns a queue of short tasks."""
--- /dev/null
+++ b/acacialine/tests/zonesimulation.py
@@ -0,0 +1,204 @@
+"""Placers, backend servers and the messages between them on a virtual clock.
+
+Used by the property tests of the placer and of kept jobs.
+"""
+
+import heapq
+import itertools
+import random
+
+from acacialine import leases
+from acacialine import orders
+from acacialine import placer as placer_lib
+from acacialine import zoneruns
+from acacialine.tests import zonebuilders as build
+from acacialine.tools import fakeservers
+
+ANSWER_TIMEOUT_S = 0.25
+LEASE_S = 1.0
+
+
+class Network:
+    """A virtual clock, and messages that are delayed, late or lost."""
+
+    def __init__(self, seed, fault_rate):
+        self.random = random.Random(seed)
+        self.fault_rate = fault_rate
+        self.server_pool = fakeservers.FakeServerPool()
+        self.now = 0.0
+        self._events = []
+        self._event_numbers = itertools.count()
+
+    def servers_of(self, zone):
+        """Returns the fake backend servers of a zone."""
+        return list(self.server_pool.servers.values())
+
+    def advance(self, seconds):
+        """Carries out all that is due within some time."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            time, _, action = heapq.heappop(self._events)
+            self.now = max(self.now, time)
+            action(self.now)
+        self.now = until
+        for server in self.server_pool.servers.values():
+            server.end_due_runs(self.now)
+
+    def at(self, time, action):
+        heapq.heappush(self._events, (time, next(self._event_numbers), action))
+
+    def draw_delays(self):
+        """Returns the delays of a request and its reply; None if lost."""
+        request_delay_s = 0.0005 + self.random.random() * 0.002
+        if self.random.random() < self.fault_rate:
+            fault = self.random.choice(("lost", "late", "no answer"))
+            if fault == "lost":
+                return None, None
+            if fault == "late":
+                return self.random.uniform(1.0, 4.0), None
+            return request_delay_s, None
+        return request_delay_s, request_delay_s
+
+    def send_request(self, delays, deliver):
+        if delays[0] is not None:
+            self.at(self.now + delays[0], deliver)
+
+    def send_reply(self, delays, on_reply):
+        if delays[1] is not None:
+            self.at(self.now + delays[1], on_reply)
+
+
+class Owner:
+    """One placer and its simulated connections to the backend servers.
+
+    The simulation provides `answer`, `share` and `hand_over_fenced`.
+    """
+
+    def __init__(self, simulation, epoch, now, zone="zone-a"):
+        self.simulation = simulation
+        self.epoch = epoch
+        self.placer = placer_lib.new_placer(zone, 0.3, now)
+        self.paused_until = 0.0
+        self.last_tick = now
+        self.is_closed = False
+        self.next_poll = {}
+        self.unreachable_until = {}
+        announced = [
+            build.server(s.id, s.cpu, zone=zone)
+            for s in simulation.servers_of(zone)
+        ]
+        self.placer.runs.apply_servers(announced, now)
+
+    def tick(self, now):
+        if self.is_closed or now < self.paused_until:
+            return
+        if now - self.last_tick > 0.4:
+            self.placer.handle_process_pause(now)
+        self.last_tick = now
+        for server in list(self.placer.tables.servers.values()):
+            if now < self.unreachable_until.get(server.id, 0.0):
+                continue
+            if now >= self.next_poll.get(server.id, 0.0):
+                self.next_poll[server.id] = now + 0.1
+                self._poll(server, now)
+        self.placer.tick(now)
+        for order in self.placer.take_orders():
+            match order:
+                case orders.StartRun(run):
+                    self._start(run, now)
+                case orders.StopRun(run):
+                    self._stop(run, now)
+                case orders.AnswerJob():
+                    self.simulation.answer(self, order)
+                case orders.ShareJob(job_id):
+                    self.simulation.share(self, job_id)
+
+    def _handle_fenced(self):
+        self.is_closed = True
+        self.simulation.hand_over_fenced(self)
+
+    def _poll(self, server, now):
+        simulation = self.simulation
+        fake = simulation.server_pool.servers[server.id]
+        until = 0.0
+        if server.clock_at and zoneruns.needs_lease(server, now):
+            lease = leases.new_lease(server, LEASE_S, now)
+            server.lease_until = max(server.lease_until, lease.ends_by)
+            until = now + LEASE_S
+        delays = simulation.draw_delays()
+        last_ended_seq = server.last_ended_seq
+
+        def deliver(arrived_at):
+            observation = fake.poll(
+                self.epoch, last_ended_seq, until, arrived_at
+            )
+
+            def on_reply(received_at):
+                if self.is_closed:
+                    return
+                if observation is None:
+                    self._handle_fenced()
+                    return
+                leases.observe_clock(
+                    server, observation.server_clock_ms, received_at
+                )
+                self.placer.runs.apply_poll(
+                    server, observation, now, received_at
+                )
+
+            simulation.send_reply(delays, on_reply)
+
+        simulation.send_request(delays, deliver)
+
+    def _start(self, run, now):
+        simulation = self.simulation
+        fake = simulation.server_pool.servers[run.server.id]
+        lease = leases.new_lease(run.server, LEASE_S, now)
+        run.not_after = lease.ends_by
+        run.server.lease_until = max(run.server.lease_until, lease.ends_by)
+        simulation.server_pool.job_cpu[run.key.job_id] = run.demand.cpu
+        delays = simulation.draw_delays()
+        has_outcome = []
+
+        def deliver(arrived_at):
+            outcome = fake.start(run, self.epoch, now + LEASE_S, arrived_at)
+
+            def on_reply(received_at):
+                if self.is_closed or has_outcome:
+                    return
+                has_outcome.append(True)
+                if outcome == orders.StartOutcome.FENCED:
+                    self._handle_fenced()
+                else:
+                    self.placer.runs.handle_start_result(
+                        run, outcome, received_at
+                    )
+
+            simulation.send_reply(delays, on_reply)
+
+        def time_out(at):
+            if not has_outcome and not self.is_closed:
+                has_outcome.append(True)
+                unknown = orders.StartOutcome.UNKNOWN
+                self.placer.runs.handle_start_result(run, unknown, at)
+
+        simulation.send_request(delays, deliver)
+        simulation.at(now + ANSWER_TIMEOUT_S, time_out)
+
+    def _stop(self, run, now):
+        simulation = self.simulation
+        fake = simulation.server_pool.servers[run.server.id]
+        delays = simulation.draw_delays()
+
+        def deliver(arrived_at):
+            confirmed = fake.stop(run, self.epoch, arrived_at)
+
+            def on_reply(received_at):
+                if not self.is_closed:
+                    self.placer.runs.handle_stop_result(
+                        run, confirmed, received_at
+                    )
+
+            simulation.send_reply(delays, on_reply)
+
+        simulation.send_request(delays, deliver)
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -10,18 +10,11 @@
 import attrs
 
 from acacialine import events
+from acacialine import leases
 from acacialine import orders as orders_lib
 from acacialine import serverhealth
 from acacialine import zonetables
 
-# Time after which a run of an earlier owner is stopped unless a dispatcher
-# has handed over its job.
-ADOPTION_TIMEOUT_S = 0.25
-MAX_LEASE_S = 1.1  # longest lease on the slowest clock, with a margin
-# Time after which all runs of a lost owner have certainly ended: a successor
-# may list a run just before its lease ends, renew the lease until the adoption
-# timeout and then lose the backend server.
-LOST_OWNER_TIMEOUT_S = MAX_LEASE_S + ADOPTION_TIMEOUT_S + MAX_LEASE_S
 STOP_RETRY_S = 0.15  # delay before an unconfirmed stop is sent again
 MAX_STOP_S = 0.06  # a backend server takes up to 50 ms to stop a run
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
@@ -50,26 +43,32 @@
     """All runs on the backend servers of a zone.
 
     A run of an earlier owner is unclaimed until its job is handed over to
-    this placer, which then adopts it, or until ADOPTION_TIMEOUT_S is over and
-    it is stopped.
+    this placer, which then adopts it, or until `leases.ADOPTION_TIMEOUT_S` is
+    over and it is stopped.
 
     Attributes:
         tables: The tables of the placer.
         job_callbacks: Receives the ends of runs that belong to a job.
         emit: Receives each order.
-        is_server_list_stable: False if a server recently left the list or was
-            lost to another owner, which may still have runs on it.
+        lease_times: Times that follow from the length of the leases.
+        is_list_current: Whether the list of servers was read from the store
+            since this placer became the owner. An older list may lack a server
+            on which the earlier owner has started runs.
+        unknown_before: Jobs that arrived before may have runs on a server that
+            has left the list or obeys another owner.
     """
 
     tables: zonetables.ZoneTables
     job_callbacks: JobCallbacks
     emit: collections.abc.Callable[[orders_lib.Order], None]
-    is_server_list_stable: bool = True
+    lease_times: leases.LeaseTimes = attrs.field(factory=leases.LeaseTimes)
+    is_list_current: bool = True
+    unknown_before: float = -1e9
 
     @property
     def all_runs_known(self) -> bool:
-        """Whether all runs of earlier owners are known."""
-        return self.is_server_list_stable and all(
+        """Whether all runs on the listed servers are known."""
+        return self.is_list_current and all(
             s.runs_listed for s in self.tables.servers.values() if s.is_in_store
         )
 
@@ -221,7 +220,7 @@
         if run.stop_confirmed_at is not None:
             return
         if run.stop_sent_at is None:
-            if now - run.sent_at > ADOPTION_TIMEOUT_S:
+            if now - run.sent_at > leases.ADOPTION_TIMEOUT_S:
                 self.stop(run, now)
         elif now - run.stop_sent_at > STOP_RETRY_S:
             self._order_stop(run, now)
@@ -392,7 +391,9 @@
         )
         self.tables.add_run(run)
         # Its lease is unknown: an earlier owner or a late order set it.
-        server.lease_until = max(server.lease_until, now + MAX_LEASE_S)
+        server.lease_until = max(
+            server.lease_until, now + self.lease_times.max_lease_s
+        )
         job = self.tables.jobs.get(row.key.job_id)
         if job is not None and row.key.index in job.waiting:
             self._adopt_run(server, run, job)
@@ -484,8 +485,10 @@
             if job is not None:
                 # The other owner stops or adopts the run.
                 job.runs.pop(run.key.index, None)
-                job.hold_until = max(job.hold_until, now + MAX_LEASE_S)
-                self.is_server_list_stable = False
+                job.hold_until = max(
+                    job.hold_until, now + self.lease_times.max_lease_s
+                )
+                self.unknown_before = now
                 job.waiting.appendleft(run.key.index)
 
     def _log(self, event: events.Event, **fields) -> None:
@@ -498,7 +501,7 @@
     They are while any of its runs has a job or may still be adopted by one.
     """
     return any(
-        run.job is not None or now - run.sent_at <= ADOPTION_TIMEOUT_S
+        run.job is not None or now - run.sent_at <= leases.ADOPTION_TIMEOUT_S
         for run in server.runs.values()
     )
 
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -298,10 +298,11 @@
 
 @attrs.frozen
 class RemoteJob:
-    """A job that the placer of another zone keeps running past its deadline.
+    """A job that another placer may run although no client waits for it.
 
     Attributes:
-        zone: The other zone.
+        zone: The zone of that placer, which may be an earlier owner of the
+            local zone.
         until: When all its runs there have certainly ended.
     """
 
@@ -325,7 +326,7 @@
         slowness_normalized_at: When the slowness of servers was last
             normalized.
         live_runs: Number of runs of each task that may be alive.
-        remote_jobs: Jobs that may still run in other zones, by id.
+        remote_jobs: Jobs that other placers may still run, by id.
     """
 
     zone: str
@@ -359,6 +360,25 @@
             del self.live_runs[run.key]
 
 
+def record_remote_job(
+    remote_jobs: dict[str, RemoteJob], job_id: str, zone: str, until: float
+) -> None:
+    """Adds a job to a table of remote jobs, in the order of their expiry."""
+    remote_jobs.pop(job_id, None)
+    remote_jobs[job_id] = RemoteJob(zone, until)
+
+
+def drop_expired_remote_jobs(
+    remote_jobs: dict[str, RemoteJob], now: float
+) -> None:
+    """Removes the remote jobs whose runs have certainly ended."""
+    while remote_jobs:
+        job_id = next(iter(remote_jobs))
+        if now < remote_jobs[job_id].until:
+            return
+        del remote_jobs[job_id]
+
+
 def milliseconds(seconds: float) -> int:
     """Converts a duration in s to whole ms for log lines."""
     return round(seconds * 1000)
