--- a/acacialine/tools/drainbench.py
+++ b/acacialine/tools/drainbench.py
@@ -17,6 +17,7 @@
 from acacialine.tools import faultproxy
 from acacialine.tools import layout as layout_lib
 from acacialine.tools import local as local_lib
+from acacialine.tools import ports as ports_lib
 
 TOKEN = "baekdu-demo-token"
 RESET_SHARE = 0.5
@@ -147,7 +148,7 @@
         "stop": {"unhealthy_s": 1.0, "close_first_s": close_first_s},
         "log": {"decisions": "no"},
     }
-    port = layout_lib.free_ports(1)[0]
+    port = ports_lib.reserve(1)[0]
     counts = {"sent": 0, "answered": 0, "lost": 0}
     async with local_lib.running(layout, extra) as local:
         text = (local_lib.EXAMPLES_DIR / "baekdu.ini").read_text()
--- a/acacialine/tools/layout.py
+++ b/acacialine/tools/layout.py
@@ -3,17 +3,12 @@
 An installation has entries, fake backend servers and a fake platform.
 """
 
-import contextlib
-import random
-import socket
-
 import attrs
 
 from acacialine import platforms
+from acacialine.tools import ports as ports_lib
 
 PEER_KEY = "bench-key"
-PORT_RANGE = (15000, 32000)  # below the usual ephemeral ports
-_RETURNED_PORTS: set[int] = set()  # ports that this process must not reuse
 
 
 @attrs.frozen
@@ -52,30 +47,10 @@
     backends: list[BackendPlan]
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns TCP ports that are free at present, each at most once.
-
-    They lie below the ephemeral ports, so that no outgoing connection takes
-    one of them before it is bound.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(*PORT_RANGE)
-        if port in _RETURNED_PORTS:
-            continue
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            with contextlib.suppress(OSError):
-                probe.bind(("127.0.0.1", port))
-                ports.append(port)
-                _RETURNED_PORTS.add(port)
-    return ports
-
-
 def new_layout(
     zones: list[str], entries_per_zone: list[int], backends_per_zone: list[int]
 ) -> Layout:
-    """Returns a layout with free ports.
+    """Returns a layout with reserved ports.
 
     Args:
         zones: Names of the zones.
@@ -83,7 +58,7 @@
         backends_per_zone: Number of backend servers in each zone.
     """
     count = 1 + 3 * sum(entries_per_zone) + sum(backends_per_zone)
-    addresses = iter([("127.0.0.1", port) for port in free_ports(count)])
+    addresses = iter([("127.0.0.1", port) for port in ports_lib.reserve(count)])
     platform = next(addresses)
     entries = []
     backends = []
--- a/acacialine/tools/processes.py
+++ b/acacialine/tools/processes.py
@@ -22,6 +22,7 @@
 from acacialine import platforms
 from acacialine.tools import faultproxy
 from acacialine.tools import layout as layout_lib
+from acacialine.tools import ports as ports_lib
 from acacialine.tools import proxyserver
 
 READY_TIMEOUT_S = 40.0
@@ -105,7 +106,7 @@
     def start_proxies(self, client_delay_s: float) -> None:
         """Starts client and peer routes with delays in separate processes."""
         entries = self.layout.entries
-        ports = iter(layout_lib.free_ports(2 * len(entries)))
+        ports = iter(ports_lib.reserve(2 * len(entries)))
         client_specs, peer_specs = [], []
         zone_by_port = {}
         for plan in entries:
@@ -405,7 +406,7 @@
     """Opens every route in this process, so that it can inject faults."""
     layout = installation.layout
     count = 2 * len(layout.entries) + len(layout.backends)
-    ports = iter(layout_lib.free_ports(count))
+    ports = iter(ports_lib.reserve(count))
 
     async def open_route(target, **values) -> faultproxy.ProxyRoute:
         listen = ("127.0.0.1", next(ports))
--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -26,6 +26,7 @@
 MAX_ATTEMPTS = 3
 SETTLE_S = 4.0  # after the last fault, until every dispatcher serves
 STOP_GRACE_S = 6.0
+TARGET_LATENCY_MS = 1000  # short enough that a crowded zone refuses jobs
 # Share of the grace period of a stop after which the platform's rules allow
 # requests in progress to be cut off.
 CUT_OFF_SHARE = 5 / 6
@@ -442,7 +443,11 @@
     )
     async with trio.open_nursery() as nursery:
         cluster = zonecluster.Cluster(
-            nursery, log_dir, mutant=size.mutant, grace_s=STOP_GRACE_S
+            nursery,
+            log_dir,
+            mutant=size.mutant,
+            grace_s=STOP_GRACE_S,
+            target_latency_ms=TARGET_LATENCY_MS,
         )
         soak = Soak(cluster, plan, size)
         try:
--- a/acacialine/tools/zonecluster.py
+++ b/acacialine/tools/zonecluster.py
@@ -9,7 +9,6 @@
 import functools
 import pathlib
 import random
-import socket
 import subprocess
 import sys
 import time
@@ -24,11 +23,11 @@
 from acacialine.tools import fakeservers
 from acacialine.tools import faultproxy
 from acacialine.tools import http
+from acacialine.tools import ports as ports_lib
 from acacialine.tools import zonestandin
 
 HOST = "desk.example"
 STARTUP_TIMEOUT_S = 30.0
-PORT_RANGE = (15000, 32000)  # below Linux's ephemeral ports, 32768 and above
 DEADLINE_MS = 3000
 # Clients wait so long after the deadline, since a busy machine answers late.
 CLIENT_EXTRA_WAIT_S = 2.0
@@ -53,26 +52,6 @@
 """
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns distinct loopback ports that are not in use.
-
-    They lie below the ephemeral ports, so that no outgoing connection takes one
-    before its process listens.
-    """
-    rng = random.SystemRandom()
-    ports: list[int] = []
-    while len(ports) < count:
-        port = rng.randrange(*PORT_RANGE)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
-    return ports
-
-
 @attrs.frozen
 class Ports:
     """Ports of one dispatcher and of the proxies for its peers and store."""
@@ -116,6 +95,8 @@
         refused_jobs: Ids of jobs answered 429 or 503.
         published: When each configuration version was published.
         mutant: Name of a mutation of the dispatchers, see `mutants`.
+        target_latency_ms: Latency that clients accept. By default it is so
+            long that no job is refused because it would end late.
         peer_routes: Proxy in front of each dispatcher's peer port.
         store_routes: Proxy from each dispatcher to the store.
         server_routes: Proxy in front of each backend server.
@@ -137,11 +118,11 @@
     mutant: str = ""
     grace_s: float = 4.0
     version: int = 0
-    target_latency_ms: int = 1000
+    target_latency_ms: int = 60000
     peer_routes: dict[str, faultproxy.ProxyRoute] = attrs.field(factory=dict)
     store_routes: dict[str, faultproxy.ProxyRoute] = attrs.field(factory=dict)
     server_routes: dict[str, faultproxy.ProxyRoute] = attrs.field(factory=dict)
-    _store_port: int = attrs.field(factory=lambda: free_ports(1)[0])
+    _store_port: int = attrs.field(factory=lambda: ports_lib.reserve(1)[0])
 
     @property
     def status_counts(self) -> collections.Counter:
@@ -175,7 +156,7 @@
                     await trio.sleep(0.05)
 
     async def _add_dispatcher(self, name: str) -> None:
-        ports = Ports(*free_ports(6))
+        ports = Ports(*ports_lib.reserve(6))
         self.ports[name] = ports
         self.peer_routes[name] = await self._start_proxy(
             ports.peer_proxy, ports.peer
@@ -197,7 +178,7 @@
         self, server_id: str, zone: str, cpu: int = 16000
     ) -> None:
         """Adds a fake backend server behind a fault proxy."""
-        port, proxy_port = free_ports(2)
+        port, proxy_port = ports_lib.reserve(2)
         fake_server = self.fake_servers.add(server_id, cpu)
         endpoint = zonestandin.FakeServerEndpoint(
             fake_server, zone, ("127.0.0.1", proxy_port), self.store
@@ -224,7 +205,6 @@
                 "host": HOST,
                 "pathPrefix": prefix,
                 "timeoutMs": DEADLINE_MS,
-                # High enough that a busy machine causes no refusals.
                 "targetLatencyMs": self.target_latency_ms,
                 "priority": 0,
                 "service": "desk",
