--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -172,7 +172,7 @@
   freeTasks @7 :UInt32;
   placerId @8 :Text;
   placerClaim @9 :UInt64;
-  isReply @10 :Bool;
+  isReply @10 :Bool;  # no longer used
   weight @11 :Float64;
 }
 
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -8,17 +8,17 @@
 import functools
 import random
 import time
+import traceback
 
 import attrs
-import hypercorn.trio
 import trio
 
-from acacialine import asgi
 from acacialine import clock
 from acacialine import dispatchsettings
 from acacialine import errors
 from acacialine import eventlog
 from acacialine import events
+from acacialine import httpserver
 from acacialine import ids
 from acacialine import intake as intake_lib
 from acacialine import leases
@@ -40,7 +40,6 @@
 SLOW_TICK_S = 0.0003  # exceeded in a zone with many backend servers
 # Pause after a slow tick, as a multiple of the tick's duration.
 SLOW_TICK_PAUSE_FACTOR = 4.0
-CLIENT_IDLE_TIMEOUT_S = 60.0
 # A longer gap between ticks means that the process was suspended.
 PROCESS_PAUSE_S = 0.4
 HOUSEKEEPING_INTERVAL_S = 0.5
@@ -98,6 +97,7 @@
     _wake_event: trio.Event = attrs.field(factory=trio.Event)
     _stop_requested: trio.Event = attrs.field(factory=trio.Event)
     _random: random.Random = attrs.field(factory=random.Random)
+    _http_servers: list[httpserver.Server] = attrs.field(factory=list)
     _last_tick_at: float = 0.0
     _average_lag_s: float = 0.0
     _lagging_until: float = 0.0
@@ -126,6 +126,8 @@
             self._on_link_opened,
             self._on_link_closed,
             self._on_link_change,
+            self._on_peer_rejected,
+            self.log_unexpected,
         )
         self.store_reader = storereader.StoreReader(self)
         self.link_manager = linkmanager_lib.LinkManager(self)
@@ -211,6 +213,7 @@
             await self._listen(nursery)
             nursery.start_soon(self._run_ticks)
             nursery.start_soon(self.link_manager.run, nursery)
+            nursery.start_soon(self.hub.run_silence_checks)
             nursery.start_soon(self._run_housekeeping)
             self.store_reader.start(nursery)
             self.log(events.Event.DISPATCHER_STARTED, zone=self.zone)
@@ -227,20 +230,35 @@
         nursery.start_soon(
             functools.partial(trio.serve_listeners, self.hub.serve, listeners)
         )
-        for app, address in (
-            (ingress.Ingress(self), settings.caller_address),
-            (ingress.Readiness(self), settings.ready_address),
-            (self.meters, settings.metrics_address),
+        clients = ingress.Ingress(self)
+        for handler, max_body_bytes, address in (
+            (clients.handle, clients.max_body_bytes, settings.caller_address),
+            (ingress.Readiness(self).handle, int, settings.ready_address),
+            (self.meters.handle, int, settings.metrics_address),
         ):
-            config = asgi.new_hypercorn_config(address, CLIENT_IDLE_TIMEOUT_S)
-            await nursery.start(
-                functools.partial(
-                    hypercorn.trio.serve,
-                    asgi.http_only(app),
-                    config,
-                    shutdown_trigger=trio.sleep_forever,
-                )
+            server = httpserver.Server(
+                handler, max_body_bytes, self._log_handler_error, nursery
             )
+            self._http_servers.append(server)
+            host, port = address
+            listeners = await trio.open_tcp_listeners(port, host=host)
+            nursery.start_soon(server.serve, listeners)
+
+    def _log_handler_error(self, error: Exception) -> None:
+        self.log_unexpected("request", error)
+
+    def log_unexpected(self, operation: str, error: BaseException) -> None:
+        """Logs an error that ends one operation but not the process."""
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        frames = traceback.extract_tb(error.__traceback__)
+        place = f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
+        self.log(
+            events.Event.UNEXPECTED_ERROR,
+            operation=operation,
+            error=repr(error),
+            place=place,
+        )
 
     # Event loop
 
@@ -318,6 +336,7 @@
         self.placer_host.apply_servers(now)
         self.store_reader.request_servers()
         self.store_reader.request_record_write()
+        self.hub.announce()
 
     def _give_up_ownership(self, reason: str) -> None:
         """Closes the placer if it runs in this process."""
@@ -327,6 +346,7 @@
         self.placer_host.close()
         self.placer_host = None
         self.store_reader.request_record_write()
+        self.hub.announce()
 
     def _reachable_placers(
         self, now: float
@@ -432,7 +452,7 @@
 
     # Peers
 
-    def _build_zone_state(self, is_reply: bool) -> messages.ZoneState:
+    def _build_zone_state(self) -> messages.ZoneState:
         """Returns a heartbeat of this dispatcher."""
         free_tasks = (
             self.placer_host.free_slots() if self.placer_host is not None else 0
@@ -450,7 +470,6 @@
             free_tasks,
             placer_id,
             self.ownership.epoch_of(placer_id),
-            is_reply,
             self.settings.dispatcher.weight,
         )
 
@@ -481,7 +500,10 @@
         )
 
     def _on_message(
-        self, link: peering.PeerLink, message: messages.Message
+        self,
+        link: peering.PeerLink,
+        message: messages.Message,
+        is_repeated: bool,
     ) -> None:
         """Handles a message on a link that this dispatcher opened."""
         match message:
@@ -492,6 +514,8 @@
                 )
                 if message.config_version > version:
                     link.post(messages.RoutesCall(version))
+                if not is_repeated:
+                    self.wake()
             case messages.JobVerdict():
                 self._receive_verdict(link.peer_id, message)
             case messages.KeptConfirmed(job_id):
@@ -513,12 +537,17 @@
         self.wake()
 
     def _on_request(
-        self, session: peering.AcceptedLink, message: messages.Message
+        self,
+        session: peering.AcceptedLink,
+        message: messages.Message,
+        is_repeated: bool,
     ) -> None:
         """Handles a message on a link that a peer opened."""
         match message:
             case messages.ZoneState():
                 self._receive_zone_state(message)
+                if is_repeated:
+                    return
             case messages.SubmitJob() if self.placer_host is not None:
                 submission = placerhost.decode_submission(message)
                 self.placer_host.submit(submission, session.outbox)
@@ -572,6 +601,9 @@
     def _on_link_change(self, link: peering.PeerLink) -> None:
         self.wake()
 
+    def _on_peer_rejected(self, reason: str) -> None:
+        self.log(events.Event.PEER_REJECTED, reason=reason)
+
     async def _run_housekeeping(self) -> None:
         """Updates the gauges and flushes buffered log lines periodically."""
         while True:
@@ -580,6 +612,8 @@
             self._record_lag(max(0.0, clock.now() - due))
             self.meters.log_dropped.set(self.logger.sink.dropped)
             self.meters.epoch.set(self.ownership.epoch)
+            for server in self._http_servers:
+                server.sweep(clock.now())
             if self.placer_host is not None:
                 self.placer_host.update_meters(self.meters)
             self.logger.flush()
--- a/acacialine/eventlog.py
+++ b/acacialine/eventlog.py
@@ -39,6 +39,7 @@
         events.Event.PEER_DISCONNECTED,
         events.Event.LOG_DROPPED,
         events.Event.LOOP_PAUSED,
+        events.Event.UNEXPECTED_ERROR,
         events.Event.SETTINGS_RELOADED,
         events.Event.SETTINGS_REJECTED,
         events.Event.DISPATCHER_STARTED,
--- a/acacialine/events.py
+++ b/acacialine/events.py
@@ -88,3 +88,4 @@
     STORE_RECORD_IGNORED = 874
     LOG_DROPPED = 880
     LOOP_PAUSED = 881
+    UNEXPECTED_ERROR = 882
--- a/acacialine/httppool.py
+++ b/acacialine/httppool.py
@@ -1,21 +1,30 @@
-"""A pool of keep-alive HTTP connections to one address, without retries.
+"""HTTP client on non-blocking sockets, without retries.
 
 A call has a reply, or certainly was not sent, or may have been executed.
 Callers treat the last two differently, so each has its own exception.
+
+`ConnectionPool` serves coroutines that await their reply. `CallbackPool` makes
+many calls without a coroutine or a cancel scope for each: a call is written at
+once, one task a connection reads, and `Deadlines` ends late calls together.
 """
 
 import collections.abc
+import heapq
+import itertools
+import os
+import socket
 
 import attrs
-import httpcore
+import httptools
 import trio
 
 from acacialine import clock
 from acacialine import errors
-from acacialine import streams
 
 MAX_REPLY_BYTES = 64 << 20
+MAX_HEAD_BYTES = 100 << 10  # status line and headers
 IDLE_EXPIRY_S = 3.0  # below the 4 s after which backend servers close them
+_READ_BYTES = 65536
 
 
 class NotSentError(errors.AcacialineError):
@@ -41,53 +50,264 @@
     headers: dict[bytes, bytes]
 
 
-_EXCHANGE_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    trio.TooSlowError,
-    ValueError,
-)
+class _ReplyParser:
+    """Assembles replies from the bytes of one connection."""
+
+    def __init__(self):
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+        self._is_head = True
+        self._has_begun = False
+        self._replies: list[Reply] = []
+        self.is_reusable = True
+
+    def feed(self, data: bytes) -> Reply | None:
+        """Returns the reply that the data completes, None if it needs more.
+
+        Raises:
+            NoAnswerError: The data is malformed, exceeds the size limits or
+                has more than one reply.
+        """
+        self._size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise NoAnswerError(f"malformed reply: {error!r}") from error
+        limit = MAX_HEAD_BYTES if self._is_head else MAX_REPLY_BYTES
+        if self._size > limit and not self._replies:
+            raise NoAnswerError(f"reply exceeds {limit} bytes")
+        if not self._replies:
+            return None
+        if len(self._replies) > 1 or self._has_begun:
+            self.is_reusable = False  # bytes follow the reply
+        reply = self._replies[0]
+        self._replies.clear()
+        self._size = 0
+        return reply
+
+    # Callbacks of httptools
+
+    def on_message_begin(self) -> None:
+        """Begins a reply."""
+        self._has_begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header."""
+        self._headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        """Ends the head of a reply."""
+        self._is_head = False
+
+    def on_body(self, body: bytes) -> None:
+        """Adds a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Ends a reply; informational ones are skipped."""
+        status = self._parser.get_status_code()
+        if status >= 200:
+            self._replies.append(
+                Reply(status, b"".join(self._body), self._headers)
+            )
+            self.is_reusable = self._parser.should_keep_alive()
+        self._headers = {}
+        self._body.clear()
+        self._is_head = True
+        self._has_begun = False
+
+
+class Connection:
+    """A keep-alive connection with at most one call at a time.
+
+    Attributes:
+        call: The call in flight; None while idle or used by `exchange`.
+        is_closed: Whether it has been closed.
+        idle_since: When it became idle.
+    """
+
+    def __init__(self, sock: socket.socket):
+        self._socket = sock
+        self._parser = _ReplyParser()
+        self._unsent = b""
+        self.call: Call | None = None
+        self.is_closed = False
+        self.idle_since = clock.now()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another call may follow the last reply."""
+        return not self.is_closed and self._parser.is_reusable
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether an idle connection is fresh and the server has kept it."""
+        if self.is_closed or clock.now() - self.idle_since > IDLE_EXPIRY_S:
+            return False
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # closed by the server, or an unexpected reply
+
+    def send(self, request: bytes) -> None:
+        """Writes a request as far as possible without waiting.
+
+        Raises:
+            NotSentError: No part of it was written.
+        """
+        try:
+            sent = self._socket.send(request)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            raise NotSentError(f"cannot write: {error!r}") from error
+        self._unsent = request[sent:]
+
+    def receive(self) -> Reply | None:
+        """Reads what has arrived; returns a reply once it is complete.
+
+        Raises:
+            NoAnswerError: The connection failed or the reply is malformed.
+        """
+        try:
+            data = self._socket.recv(_READ_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            raise NoAnswerError(f"cannot read: {error!r}") from error
+        if not data:
+            raise NoAnswerError("closed by the server")
+        return self._parser.feed(data)
+
+    async def wait(self) -> None:
+        """Waits until something arrives; writes what was not sent before.
+
+        Raises:
+            NoAnswerError: The connection failed.
+            trio.ClosedResourceError: The connection was closed meanwhile.
+        """
+        while self._unsent:
+            await trio.lowlevel.wait_writable(self._socket)
+            try:
+                sent = self._socket.send(self._unsent)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise NoAnswerError(f"cannot write: {error!r}") from error
+            self._unsent = self._unsent[sent:]
+        await trio.lowlevel.wait_readable(self._socket)
+
+    async def exchange(self, request: bytes) -> Reply:
+        """Sends a request and waits for the whole reply.
+
+        Raises:
+            NotSentError: No part of it was written.
+            NoAnswerError: It was sent and got no complete reply.
+        """
+        self.send(request)
+        while True:
+            await self.wait()
+            reply = self.receive()
+            if reply is not None:
+                return reply
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        if not self.is_closed:
+            self.is_closed = True
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+
+async def connect(address: tuple[str, int], timeout_s: float) -> Connection:
+    """Opens a connection.
+
+    Args:
+        address: IP address and port.
+        timeout_s: Time limit in s.
+
+    Raises:
+        NotSentError: The server cannot be reached.
+    """
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    try:
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:
+        raise NotSentError(f"no socket: {error!r}") from error
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with trio.fail_after(timeout_s):
+            await _connect_socket(sock, address)
+    except (OSError, OverflowError, trio.TooSlowError) as error:
+        sock.close()
+        raise NotSentError(f"cannot connect: {error!r}") from error
+    except BaseException:
+        sock.close()
+        raise
+    return Connection(sock)
+
+
+async def _connect_socket(
+    sock: socket.socket, address: tuple[str, int]
+) -> None:
+    try:
+        sock.connect(address)
+    except BlockingIOError:
+        await trio.lowlevel.wait_writable(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, os.strerror(error)) from None
+
+
+def new_request_head(
+    method: str,
+    target: str,
+    address: tuple[str, int],
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+) -> bytes:
+    """Returns the head of requests, up to the Content-Length header."""
+    host, port = address
+    lines = [f"{method} {target} HTTP/1.1\r\nhost: {host}:{port}\r\n".encode()]
+    lines += [name + b": " + value + b"\r\n" for name, value in headers]
+    return b"".join(lines)
+
+
+def finish_request(head: bytes, body: bytes) -> bytes:
+    """Returns a request with a JSON body."""
+    return (
+        b"%scontent-type: application/json\r\ncontent-length: %d\r\n\r\n%s"
+        % (
+            head,
+            len(body),
+            body,
+        )
+    )
 
 
 @attrs.define(eq=False)
 class ConnectionPool:
-    """The connection pool of this process to one address.
+    """Connections to one address, for coroutines that await their replies.
 
     Attributes:
-        on_connect: Called with each new connection before its first call;
-            may raise one of the errors of this module.
         opened: Number of connections opened so far.
     """
 
     address: tuple[str, int]
     connect_timeout_s: float
-    on_connect: (
-        collections.abc.Callable[
-            [httpcore.AsyncHTTP11Connection], collections.abc.Awaitable[None]
-        ]
-        | None
-    ) = None
     opened: int = 0
-    _idle: list[tuple[float, httpcore.AsyncHTTP11Connection]] = attrs.field(
-        factory=list
-    )
-    _origin: httpcore.Origin = attrs.field(init=False)
-    _host_header: bytes = attrs.field(init=False)
-
-    def __attrs_post_init__(self):
-        host, port = self.address
-        self._origin = httpcore.Origin(b"http", host.encode(), port)
-        self._host_header = f"{host}:{port}".encode()
+    _idle: list[Connection] = attrs.field(factory=list)
 
     async def call(
-        self,
-        method: str,
-        target: str,
-        body: bytes,
-        timeout_s: float,
-        headers: tuple[tuple[bytes, bytes], ...] = (),
-        not_after: float | None = None,
+        self, method: str, target: str, body: bytes, timeout_s: float
     ) -> Reply:
         """Makes one call and returns its reply.
 
@@ -96,109 +316,253 @@
             target: Path and query.
             body: Request body.
             timeout_s: Time limit for the exchange, without connecting, in s.
-            headers: Additional request headers.
-            not_after: Time after which the call must not be sent.
 
         Raises:
             NotSentError: The call certainly did not reach the server.
             NoAnswerError: The call may have reached the server.
         """
+        head = new_request_head(method, target, self.address)
+        request = head + b"\r\n"
+        if body or method == "POST":
+            request = finish_request(head, body)
         connection = await self._acquire_connection()
-        if not_after is not None and clock.now() > not_after:
-            self._return_connection(connection)
-            raise NotSentError("the time limit for sending has passed")
-        reusable = False
+        is_reusable = False
         try:
             with trio.fail_after(timeout_s):
-                reply = await self.exchange(
-                    connection, method, target, body, headers
-                )
-            reusable = connection.is_idle()
+                reply = await connection.exchange(request)
+            is_reusable = connection.is_reusable
             return reply
-        except _EXCHANGE_ERRORS as error:
-            reason = f"{type(error).__name__}: {error}"
-            raise NoAnswerError(reason) from error
+        except trio.TooSlowError as error:
+            raise NoAnswerError("no reply in time") from error
         finally:
-            if reusable:
-                self._return_connection(connection)
+            if is_reusable:
+                connection.idle_since = clock.now()
+                self._idle.append(connection)
             else:
-                await _close(connection)
+                connection.close()
+
+    async def _acquire_connection(self) -> Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                return connection
+            connection.close()
+        connection = await connect(self.address, self.connect_timeout_s)
+        self.opened += 1
+        return connection
+
+    async def aclose(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+
+@attrs.define(eq=False)
+class Call:
+    """A call of a `CallbackPool`.
+
+    Attributes:
+        request: The whole request.
+        timeout_s: Time limit for the exchange, without connecting, in s.
+        on_reply: Called with the reply.
+        on_failure: Called instead with a `NotSentError` or `NoAnswerError`.
+        not_after: Time after which the call must not be sent; None for any.
+        is_done: Whether one of the two was called.
+    """
+
+    request: bytes
+    timeout_s: float
+    on_reply: collections.abc.Callable[[Reply], None]
+    on_failure: collections.abc.Callable[[NotSentError | NoAnswerError], None]
+    not_after: float | None = None
+    is_done: bool = False
 
-    async def exchange(
+
+class Deadlines:
+    """Time limits of the calls of several pools, checked together."""
+
+    def __init__(self):
+        self._heap: list[tuple[float, int, CallbackPool, Connection, Call]] = []
+        self._numbers = itertools.count()
+
+    def add(
         self,
-        connection: httpcore.AsyncHTTP11Connection,
-        method: str,
-        target: str,
-        body: bytes,
-        headers: tuple[tuple[bytes, bytes], ...] = (),
-    ) -> Reply:
-        """Sends one request on a connection and reads the whole reply."""
-        url = httpcore.URL(
-            scheme=b"http",
-            host=self._origin.host,
-            port=self._origin.port,
-            target=target.encode(),
-        )
-        request_headers = [(b"host", self._host_header), *headers]
-        if body or method == "POST":
-            request_headers.append((b"content-type", b"application/json"))
-            request_headers.append((b"content-length", b"%d" % len(body)))
-        request = httpcore.Request(
-            method, url, headers=request_headers, content=body
+        at: float,
+        pool: "CallbackPool",
+        connection: Connection,
+        call: Call,
+    ) -> None:
+        """Adds the time limit of a call that was sent."""
+        heapq.heappush(
+            self._heap, (at, next(self._numbers), pool, connection, call)
         )
-        response = await connection.handle_async_request(request)
-        try:
-            content = bytearray()
-            async for chunk in response.stream:
-                content += chunk
-                if len(content) > MAX_REPLY_BYTES:
-                    raise ValueError("reply exceeds the size limit")
-        finally:
-            await response.stream.aclose()
-        reply_headers = {
-            name.lower(): value for name, value in response.headers
-        }
-        return Reply(response.status, bytes(content), reply_headers)
 
-    async def _acquire_connection(self) -> httpcore.AsyncHTTP11Connection:
-        now = clock.now()
+    def check(self, now: float) -> None:
+        """Ends the calls whose time limit has passed."""
+        heap = self._heap
+        while heap and (heap[0][4].is_done or heap[0][0] <= now):
+            _, _, pool, connection, call = heapq.heappop(heap)
+            if not call.is_done:
+                pool.expire(connection, call)
+
+
+@attrs.define(eq=False)
+class CallbackPool:
+    """Connections to one address, for calls that report by callbacks.
+
+    Attributes:
+        on_connect: Coroutine called with each new connection before its first
+            call; may raise one of the errors of this module.
+        opened: Number of connections opened so far.
+    """
+
+    address: tuple[str, int]
+    connect_timeout_s: float
+    on_connect: collections.abc.Callable[
+        [Connection], collections.abc.Awaitable[None]
+    ]
+    deadlines: Deadlines
+    nursery: trio.Nursery
+    opened: int = 0
+    _idle: list[Connection] = attrs.field(factory=list)
+    _open: set[Connection] = attrs.field(factory=set)
+    _is_closed: bool = False
+
+    def send(self, call: Call) -> None:
+        """Sends a call, on a new connection if none is idle."""
+        if self._is_closed:
+            self._fail(call, NotSentError("the pool is closed"))
+            return
+        connection = self._pop_idle()
+        if connection is None:
+            self.nursery.start_soon(self._connect_and_send, call)
+        else:
+            self._send_on(connection, call)
+
+    def _pop_idle(self) -> Connection | None:
+        expired_before = clock.now() - IDLE_EXPIRY_S
         while self._idle:
-            idle_since, connection = self._idle.pop()
-            if (
-                now - idle_since < IDLE_EXPIRY_S
-                and not connection.has_expired()
-            ):
+            connection = self._idle.pop()
+            if connection.idle_since >= expired_before:
                 return connection
-            await _close(connection)
+            connection.close()
+        return None
+
+    def _send_on(self, connection: Connection, call: Call) -> None:
+        now = clock.now()
+        if call.not_after is not None and now > call.not_after:
+            self._release(connection)
+            self._fail(call, NotSentError("the time limit for sending passed"))
+            return
+        try:
+            connection.send(call.request)
+        except NotSentError as error:
+            connection.close()
+            self._fail(call, error)
+            return
+        connection.call = call
+        self.deadlines.add(now + call.timeout_s, self, connection, call)
+
+    async def _connect_and_send(self, call: Call) -> None:
         try:
-            stream = await streams.connect(self.address, self.connect_timeout_s)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            raise NotSentError(f"{type(error).__name__}: {error}") from error
+            connection = await connect(self.address, self.connect_timeout_s)
+        except NotSentError as error:
+            self._fail(call, error)
+            return
         self.opened += 1
-        connection = httpcore.AsyncHTTP11Connection(self._origin, stream)
-        if self.on_connect is not None:
+        self._open.add(connection)
+        try:
+            await self._prepare(connection)
+            self._send_on(connection, call)
+            await self._read(connection)
+        except NotSentError as error:
+            self._fail(call, error)
+        finally:
+            connection.close()
+            self._open.discard(connection)
+
+    async def _prepare(self, connection: Connection) -> None:
+        """Makes the first call on a new connection.
+
+        Raises:
+            NotSentError: It failed, or the connection can't be used again.
+        """
+        try:
+            await self.on_connect(connection)
+        except (
+            NoAnswerError,
+            trio.TooSlowError,
+            trio.ClosedResourceError,
+        ) as error:
+            raise NotSentError(f"first call failed: {error!r}") from error
+        if self._is_closed or not connection.is_reusable:
+            raise NotSentError("closed after the first call")
+
+    async def _read(self, connection: Connection) -> None:
+        """Reads the replies on a connection until it is closed."""
+        while not connection.is_closed:
             try:
-                await self.on_connect(connection)
-            except _EXCHANGE_ERRORS as error:
-                await _close(connection)
-                raise NotSentError(f"on_connect failed: {error!r}") from error
-            except BaseException:
-                await _close(connection)
-                raise
-        return connection
+                await connection.wait()
+            except trio.ClosedResourceError:
+                return
+            except NoAnswerError as error:
+                self._close(connection, error)
+                return
+            self._receive(connection)
 
-    def _return_connection(
-        self, connection: httpcore.AsyncHTTP11Connection
-    ) -> None:
-        self._idle.append((clock.now(), connection))
+    def _receive(self, connection: Connection) -> None:
+        try:
+            reply = connection.receive()
+        except NoAnswerError as error:
+            self._close(connection, error)
+            return
+        if reply is None:
+            return
+        call = connection.call
+        connection.call = None
+        if call is None:
+            self._close(connection, NoAnswerError("reply without a call"))
+            return
+        self._release(connection)
+        call.is_done = True
+        call.on_reply(reply)
 
-    async def aclose(self) -> None:
-        """Closes the idle connections."""
-        while self._idle:
-            _, connection = self._idle.pop()
-            await _close(connection)
+    def _release(self, connection: Connection) -> None:
+        """Returns a connection after a reply, or closes it."""
+        if connection.is_reusable:
+            connection.idle_since = clock.now()
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _close(self, connection: Connection, error: NoAnswerError) -> None:
+        """Closes a connection; its call may have been executed."""
+        connection.close()
+        if connection in self._idle:
+            self._idle.remove(connection)
+        call = connection.call
+        connection.call = None
+        if call is not None:
+            self._fail(call, error)
 
+    def _fail(self, call: Call, error: NotSentError | NoAnswerError) -> None:
+        if not call.is_done:
+            call.is_done = True
+            call.on_failure(error)
+
+    def expire(self, connection: Connection, call: Call) -> None:
+        """Ends a call whose time limit has passed.
+
+        A reply that has arrived but was not read yet still counts.
+        """
+        if connection.call is call and not connection.is_closed:
+            self._receive(connection)
+        if not call.is_done:
+            self._close(connection, NoAnswerError("no reply in time"))
 
-async def _close(connection: httpcore.AsyncHTTP11Connection) -> None:
-    with trio.CancelScope(shield=True):
-        await connection.aclose()
+    def close(self) -> None:
+        """Closes all connections and fails the calls in flight."""
+        self._is_closed = True
+        self._idle.clear()
+        for connection in list(self._open):
+            self._close(connection, NoAnswerError("the pool was closed"))
--- a/acacialine/linkmanager.py
+++ b/acacialine/linkmanager.py
@@ -15,8 +15,8 @@
 from acacialine import topology
 
 LINK_UPDATE_INTERVAL_S = 0.3
-# Heartbeat timeout of a non-candidate: four of its longer heartbeat intervals.
-NON_CANDIDATE_SILENT_S = 1.6
+# Heartbeat timeout of a non-candidate: three of its longest intervals.
+NON_CANDIDATE_SILENT_S = 2.4
 MAX_LINKS_PER_REMOTE_ZONE = 2  # if the store has several claims or none
 
 
@@ -46,16 +46,34 @@
     def _update_links(self, nursery: trio.Nursery) -> None:
         dispatcher = self._dispatcher
         settings = dispatcher.settings.dispatcher
-        wanted = self._wanted_links(clock.now())
+        now = clock.now()
+        local_placers = self._local_placers(now)
+        wanted = self._wanted_links(local_placers, now)
         wanted.pop(settings.advertised_address, None)
         for address, zone in wanted.items():
-            is_near = zone == settings.zone and self.is_senior
-            dispatcher.hub.dial(address, zone, is_near, nursery)
+            dispatcher.hub.dial(
+                address,
+                zone,
+                self._heartbeat_interval_s(zone, address in local_placers),
+                nursery,
+            )
         for address, link in list(dispatcher.hub.dialled_links.items()):
             if address not in wanted and not self._is_in_use(link):
                 dispatcher.hub.drop(address)
 
-    def _wanted_links(self, now: float) -> dict[tuple[str, int], str]:
+    def _heartbeat_interval_s(self, zone: str, is_placer: bool) -> float:
+        """Returns the interval of the heartbeats on a link to a zone."""
+        if zone != self._dispatcher.zone:
+            return peering.IDLE_HEARTBEAT_INTERVAL_S
+        if self.is_senior:
+            return peering.FAST_HEARTBEAT_INTERVAL_S
+        if is_placer:
+            return peering.SLOW_HEARTBEAT_INTERVAL_S
+        return peering.IDLE_HEARTBEAT_INTERVAL_S
+
+    def _wanted_links(
+        self, local_placers: dict[tuple[str, int], str], now: float
+    ) -> dict[tuple[str, int], str]:
         """Returns the zone of each address to link to; "" for seeds.
 
         Also updates whether this dispatcher is a candidate, and after which
@@ -74,7 +92,7 @@
             ownership_lib.SILENT_S if self.is_senior else NON_CANDIDATE_SILENT_S
         )
         wanted = dict.fromkeys(neighbourhood.addresses, settings.zone)
-        wanted.update(self._local_placers(now))
+        wanted.update(local_placers)
         wanted.update(self._remote_placers())
         if len(wanted) < 2:
             for address in settings.seeds:
--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -86,6 +86,12 @@
             self._buffer += chunk
         return True
 
+    def take_buffer(self) -> bytes:
+        """Returns and clears the bytes that were read beyond the last frame."""
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        return data
+
     async def aclose(self) -> None:
         """Closes the stream without waiting for the peer."""
         await trio.aclose_forcefully(self.stream)
@@ -169,9 +175,17 @@
         (key,), "server", client_nonce, peer_id, proof
     ):
         raise errors.PeerError("peer failed to prove knowledge of a shared key")
+    _check_peer_id(peer_id)
     return peer_id
 
 
+def _check_peer_id(peer_id: str) -> None:
+    try:
+        ids.parse_incarnation(peer_id)
+    except ValueError as error:
+        raise errors.PeerError(f"peer id {peer_id!r}: {error}") from error
+
+
 async def authenticate_peer(link: FramedStream, identity: Identity) -> str:
     """Authenticates a peer that connected; returns its incarnation.
 
@@ -191,10 +205,7 @@
     )
     if key is None:
         raise errors.PeerError("peer failed to prove knowledge of a shared key")
-    try:
-        ids.parse_incarnation(peer_id)
-    except ValueError as error:
-        raise errors.PeerError(str(error)) from error
+    _check_peer_id(peer_id)
     own_id = str(identity.incarnation)
     proof = keys.compute_proof(key, "server", client_nonce, own_id)
     await link.send_frame(proof + own_id.encode())
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -411,7 +411,6 @@
         free_tasks: Number of tasks of the usual size that could start now.
         placer_id: The placer of its zone as far as it knows; may be empty.
         placer_claim: Epoch of that placer.
-        is_reply: Whether this answers another heartbeat.
         weight: Its processing capacity, in processors.
     """
 
@@ -425,7 +424,6 @@
     free_tasks: int
     placer_id: str
     placer_claim: int
-    is_reply: bool
     weight: float
 
 
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import socket
 
 import attrs
 import trio
@@ -14,62 +15,163 @@
 from acacialine import clock
 from acacialine import codec
 from acacialine import errors
+from acacialine import ids
 from acacialine import links
 from acacialine import messages
 
-FAST_HEARTBEAT_INTERVAL_S = 0.15
-SLOW_HEARTBEAT_INTERVAL_S = 0.4
-FAST_SILENCE_LIMIT_S = 0.6  # without any message; four fast heartbeats
-SLOW_SILENCE_LIMIT_S = 1.0
+# Intervals of the heartbeats on a dialled link, by its importance.
+FAST_HEARTBEAT_INTERVAL_S = 0.15  # between candidates for the placer
+SLOW_HEARTBEAT_INTERVAL_S = 0.4  # to the placer of the local zone
+IDLE_HEARTBEAT_INTERVAL_S = 0.8  # to all others
+# Silence after which a link has failed, in intervals of its heartbeats.
+SILENT_INTERVALS = 2.5
+FAST_SILENCE_LIMIT_S = 0.6  # four fast intervals, since short pauses happen
+# Shortest silence after which an accepted link has failed; more if the gap
+# between its last heartbeats was longer than that of a placer's link.
+ACCEPTED_SILENCE_LIMIT_S = 1.0
+SILENCE_CHECK_INTERVAL_S = 0.15
 UNREACHABLE_AFTER_S = 1.5  # since the last contact, without an open link
 RECONNECT_DELAY_S = 0.1
 RECONNECT_MAX_DELAY_S = 1.0
-OUTBOX_CAPACITY = 4096  # messages
+MAX_UNSENT_BYTES = 8 << 20  # of messages that a peer has not read
+# A heartbeat is encoded again after this time, or when the ownership changes.
+HEARTBEAT_MAX_AGE_S = 0.05
+_READ_BYTES = 65536
 
 
-@attrs.define(eq=False)
-class Outbox:
-    """The send queue of one side of a link.
+class LinkSocket:
+    """The authenticated connection of a link, after the handshake.
 
-    One Trio task takes all messages that are queued and sends them in one
-    write.
+    Messages are written at once. What the peer does not read yet is kept and
+    written by `flush`.
     """
 
-    link: links.FramedStream
-    _sender: trio.MemorySendChannel = attrs.field(init=False)
-    _receiver: trio.MemoryReceiveChannel = attrs.field(init=False)
-
-    def __attrs_post_init__(self):
-        self._sender, self._receiver = trio.open_memory_channel(OUTBOX_CAPACITY)
+    def __init__(self, sock: socket.socket, received: bytes):
+        self._socket = sock
+        self._received = bytearray(received)
+        self._unsent = bytearray()
+        self._must_flush = trio.Event()
+        self.is_closed = False
 
     def post(self, message: messages.Message) -> bool:
-        """Queues a message; returns False if the queue is full or closed."""
-        try:
-            self._sender.send_nowait(message)
-        except (trio.WouldBlock, trio.ClosedResourceError):
+        """Sends a message; returns False if it can't be sent any more."""
+        return self.post_frame(encode_frame(message))
+
+    def post_frame(self, frame: bytes) -> bool:
+        """Sends an encoded message; see `post`."""
+        if self.is_closed or len(self._unsent) > MAX_UNSENT_BYTES:
             return False
+        if self._unsent:
+            self._unsent += frame
+            return True
+        try:
+            sent = self._socket.send(frame)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            return False  # the reader notices that the link has failed
+        if sent < len(frame):
+            self._unsent += frame[sent:]
+            self._must_flush.set()
         return True
 
-    async def run(self) -> None:
-        """Writes the queued messages until cancelled or the link fails."""
+    async def flush(self) -> None:
+        """Writes what is kept, until cancelled or the link fails."""
         while True:
-            frames = [_encode_frame(await self._receiver.receive())]
-            while True:
-                try:
-                    frames.append(
-                        _encode_frame(self._receiver.receive_nowait())
-                    )
-                except trio.WouldBlock:
-                    break
+            await self._must_flush.wait()
+            self._must_flush = trio.Event()
             with trio.fail_after(links.WRITE_TIMEOUT_S):
-                await self.link.stream.send_all(b"".join(frames))
-
-
-def _encode_frame(message: messages.Message) -> bytes:
+                while self._unsent:
+                    await trio.lowlevel.wait_writable(self._socket)
+                    try:
+                        sent = self._socket.send(self._unsent)
+                    except BlockingIOError:
+                        continue
+                    del self._unsent[:sent]
+
+    async def receive_frames(self) -> list[bytes]:
+        """Waits for data; returns the frames that are complete.
+
+        Raises:
+            _LinkEndedError: The peer closed the link.
+            errors.PeerError: A frame exceeds the limit.
+            OSError: The connection failed.
+        """
+        await trio.lowlevel.wait_readable(self._socket)
+        try:
+            data = self._socket.recv(_READ_BYTES)
+        except BlockingIOError:
+            return []
+        if not data:
+            raise _LinkEndedError("closed by the peer")
+        self._received += data
+        return self._take_frames()
+
+    def _take_frames(self) -> list[bytes]:
+        frames = []
+        received = self._received
+        start = 0
+        while len(received) - start >= links.LENGTH_BYTES:
+            body = start + links.LENGTH_BYTES
+            length = int.from_bytes(received[start:body], "big")
+            if length > links.MAX_FRAME_BYTES:
+                raise errors.PeerError(
+                    f"frame of {length} bytes exceeds the limit"
+                )
+            if len(received) - body < length:
+                break
+            start = body + length
+            frames.append(bytes(received[body:start]))
+        del received[:start]
+        return frames
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        if not self.is_closed:
+            self.is_closed = True
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+
+def new_link_socket(link: links.FramedStream) -> LinkSocket:
+    """Takes over the connection of an authenticated link without TLS."""
+    sock = socket.socket(fileno=link.stream.socket.detach())
+    sock.setblocking(False)
+    return LinkSocket(sock, link.take_buffer())
+
+
+def encode_frame(message: messages.Message) -> bytes:
+    """Encodes a message with its length."""
     data = codec.encode(codec.Frame(0, message))
     return len(data).to_bytes(links.LENGTH_BYTES, "big") + data
 
 
+class _HeartbeatDecoder:
+    """Decodes the frames of one link; equal heartbeats only once.
+
+    Most heartbeats equal the one before, and decoding costs more than all else
+    that is done with them.
+    """
+
+    def __init__(self):
+        self._last_frame = b""
+        self._last_heartbeat: messages.ZoneState | None = None
+
+    def decode(self, frame: bytes) -> tuple[messages.Message, bool]:
+        """Returns a message and whether it equals the last heartbeat.
+
+        Raises:
+            errors.PeerError: The frame is malformed.
+        """
+        if frame == self._last_frame:
+            return self._last_heartbeat, True
+        message = codec.decode(frame).message
+        if isinstance(message, messages.ZoneState):
+            self._last_frame = frame
+            self._last_heartbeat = message
+        return message, False
+
+
 _LINK_ERRORS = (
     OSError,
     trio.BrokenResourceError,
@@ -91,14 +193,34 @@
     removed from them when the link ends.
 
     Attributes:
+        outbox: Sends messages to the peer.
         heard_at: Time of the last message.
+        heartbeat_gap_s: Time between the last two heartbeats.
         is_silent: Whether the link ended because no message arrived.
     """
 
     peer_id: str
-    outbox: Outbox
+    outbox: LinkSocket
     heard_at: float
+    heartbeat_gap_s: float = 0.0
     is_silent: bool = False
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _heartbeat_at: float = 0.0
+
+    def record_heartbeat(self, now: float) -> None:
+        """Records that a heartbeat arrived."""
+        if self._heartbeat_at:
+            self.heartbeat_gap_s = now - self._heartbeat_at
+        self._heartbeat_at = now
+
+    def has_failed(self, now: float) -> bool:
+        """Returns whether the peer has been silent for too long."""
+        limit_s = max(
+            ACCEPTED_SILENCE_LIMIT_S,
+            min(self.heartbeat_gap_s, IDLE_HEARTBEAT_INTERVAL_S)
+            * SILENT_INTERVALS,
+        )
+        return now - self.heard_at > limit_s
 
 
 @attrs.define(eq=False)
@@ -106,8 +228,7 @@
     """The link that this dispatcher dials to one peer.
 
     Attributes:
-        has_fast_heartbeat: Whether the shorter heartbeat interval and
-            silence limit apply.
+        heartbeat_interval_s: Interval of the heartbeats.
         heartbeat: The peer's newest heartbeat; None until one has arrived on
             the current connection.
         heard_at: Time of the last message; 0 before the first connection.
@@ -117,7 +238,7 @@
 
     address: tuple[str, int]
     zone: str
-    has_fast_heartbeat: bool
+    heartbeat_interval_s: float
     hub: "Hub"
     peer_id: str = ""
     heartbeat: messages.ZoneState | None = None
@@ -126,7 +247,7 @@
     is_refused: bool = False
     created_at: float = attrs.field(factory=clock.now)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
-    _outbox: Outbox | None = None
+    _outbox: LinkSocket | None = None
 
     @property
     def is_open(self) -> bool:
@@ -145,9 +266,13 @@
         return self.is_refused or now - last_contact_at > UNREACHABLE_AFTER_S
 
     def post(self, message: messages.Message) -> bool:
-        """Queues a message; returns False if it cannot be sent."""
+        """Sends a message; returns False if it cannot be sent."""
         return self._outbox is not None and self._outbox.post(message)
 
+    def post_frame(self, frame: bytes) -> bool:
+        """Sends an encoded message; returns False if it cannot be sent."""
+        return self._outbox is not None and self._outbox.post_frame(frame)
+
     async def run(self) -> None:
         """Connects, and reconnects after a failure, until cancelled."""
         retry_delay_s = RECONNECT_DELAY_S
@@ -170,58 +295,70 @@
                 await self._run_connection(link)
 
     async def _run_connection(self, link: links.FramedStream) -> None:
-        self._outbox = Outbox(link)
+        self._outbox = outbox = new_link_socket(link)
         self.heard_at = clock.now()
         reason = "closed"
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._outbox.run)
+                nursery.start_soon(outbox.flush)
                 nursery.start_soon(self._send_heartbeats)
-                nursery.start_soon(self._receive, link)
-        except* _LINK_ERRORS as group:
-            reason = str(group.exceptions[0])
-        except* _LinkEndedError as group:
+                nursery.start_soon(self._receive, outbox)
+        except* (*_LINK_ERRORS, _LinkEndedError) as group:
             reason = str(group.exceptions[0])
+        except* Exception as group:
+            reason = repr(group.exceptions[0])
+            self.hub.on_error("peer link", group)
+            await trio.sleep(RECONNECT_MAX_DELAY_S)
         finally:
             self._outbox = None
             was_open = self.heartbeat is not None
             self.heartbeat = None
-            with trio.CancelScope(shield=True):
-                await link.aclose()
+            outbox.close()
             if was_open:
                 self.hub.on_link_closed(self, reason)
 
     async def _send_heartbeats(self) -> None:
         while True:
-            interval_s = (
-                FAST_HEARTBEAT_INTERVAL_S
-                if self.has_fast_heartbeat
-                else SLOW_HEARTBEAT_INTERVAL_S
-            )
-            silence_limit_s = (
-                FAST_SILENCE_LIMIT_S
-                if self.has_fast_heartbeat
-                else SLOW_SILENCE_LIMIT_S
-            )
-            if clock.now() - self.heard_at > silence_limit_s:
+            interval_s = self.heartbeat_interval_s
+            limit_s = max(FAST_SILENCE_LIMIT_S, interval_s * SILENT_INTERVALS)
+            if clock.now() - self.heard_at > limit_s:
                 raise _LinkEndedError("silent")
-            self.post(self.hub.build_heartbeat(False))
+            self.post_frame(self.hub.heartbeat_frame())
             await trio.sleep(interval_s)
 
-    async def _receive(self, link: links.FramedStream) -> None:
+    async def _receive(self, outbox: LinkSocket) -> None:
+        decoder = _HeartbeatDecoder()
         while True:
-            data = await link.receive_frame()
-            if not data:
-                raise _LinkEndedError("closed by the peer")
-            self.heard_at = clock.now()
-            message = codec.decode(data).message
-            if isinstance(message, messages.ZoneState):
-                was_open = self.heartbeat is not None
-                self.heartbeat = message
-                self.heartbeat_at = self.heard_at
-                if not was_open:
-                    self.hub.on_link_opened(self)
-            self.hub.on_message(self, message)
+            for frame in await outbox.receive_frames():
+                self.heard_at = clock.now()
+                message, is_repeated = decoder.decode(frame)
+                if isinstance(message, messages.ZoneState):
+                    check_heartbeat(message, self.peer_id)
+                    was_open = self.heartbeat is not None
+                    self.heartbeat = message
+                    self.heartbeat_at = self.heard_at
+                    if not was_open:
+                        self.hub.on_link_opened(self)
+                self.hub.on_message(self, message, is_repeated)
+
+
+def check_heartbeat(state: messages.ZoneState, peer_id: str) -> None:
+    """Checks the ids in a heartbeat.
+
+    Raises:
+        errors.PeerError: It names another sender, or an id is malformed.
+    """
+    if state.sender != peer_id:
+        raise errors.PeerError(
+            f"heartbeat of {state.sender!r} on the link of {peer_id!r}"
+        )
+    if state.placer_id:
+        try:
+            ids.parse_incarnation(state.placer_id)
+        except ValueError as error:
+            raise errors.PeerError(
+                f"placer id {state.placer_id!r}: {error}"
+            ) from error
 
 
 @attrs.define(eq=False)
@@ -229,26 +366,51 @@
     """All links of one dispatcher.
 
     Attributes:
-        build_heartbeat: Returns the heartbeat to send; the argument says
-            whether it is a reply.
-        on_message: Called with each message on a dialled link.
-        on_request: Called with each message on an accepted link.
+        build_heartbeat: Returns the heartbeat to send.
+        on_message: Called with each message on a dialled link, and whether it
+            equals the last heartbeat.
+        on_request: The same for the accepted links.
         on_session_closed: Called when an accepted link has ended.
         on_link_opened: Called after the first heartbeat on a dialled link.
         on_link_closed: Called with the reason when an open link has ended.
         on_dial_failed: Called when a connection attempt failed.
+        on_rejected: Called with the reason when an accepted link broke the
+            protocol or could not authenticate.
+        on_error: Called with the operation and an error that nothing expected.
         dialled_links: The dialled links by address.
     """
 
     identity: links.Identity
-    build_heartbeat: collections.abc.Callable[[bool], messages.ZoneState]
+    build_heartbeat: collections.abc.Callable[[], messages.ZoneState]
     on_message: collections.abc.Callable
     on_request: collections.abc.Callable
     on_session_closed: collections.abc.Callable
     on_link_opened: collections.abc.Callable
     on_link_closed: collections.abc.Callable
     on_dial_failed: collections.abc.Callable
+    on_rejected: collections.abc.Callable[[str], None]
+    on_error: collections.abc.Callable[[str, BaseException], None]
     dialled_links: dict[tuple[str, int], PeerLink] = attrs.field(factory=dict)
+    _sessions: set[AcceptedLink] = attrs.field(factory=set)
+    _heartbeat_frame: bytes = b""
+    _heartbeat_encoded_at: float = -1e9
+
+    def heartbeat_frame(self) -> bytes:
+        """Returns an encoded heartbeat at most HEARTBEAT_MAX_AGE_S old."""
+        now = clock.now()
+        if now - self._heartbeat_encoded_at > HEARTBEAT_MAX_AGE_S:
+            self._heartbeat_encoded_at = now
+            self._heartbeat_frame = encode_frame(self.build_heartbeat())
+        return self._heartbeat_frame
+
+    def announce(self) -> None:
+        """Sends a new heartbeat on all links, as the ownership has changed."""
+        self._heartbeat_encoded_at = -1e9
+        frame = self.heartbeat_frame()
+        for session in self._sessions:
+            session.outbox.post_frame(frame)
+        for link in self.dialled_links.values():
+            link.post_frame(frame)
 
     def find_open_link(self, peer_id: str) -> PeerLink | None:
         """Returns the open link to a peer; None if there is none."""
@@ -261,15 +423,15 @@
         self,
         address: tuple[str, int],
         zone: str,
-        has_fast_heartbeat: bool,
+        heartbeat_interval_s: float,
         nursery: trio.Nursery,
     ) -> None:
-        """Starts a link to an address or changes its heartbeat speed."""
+        """Starts a link to an address or changes its heartbeat interval."""
         if address not in self.dialled_links:
-            link = PeerLink(address, zone, has_fast_heartbeat, self)
+            link = PeerLink(address, zone, heartbeat_interval_s, self)
             self.dialled_links[address] = link
             nursery.start_soon(link.run)
-        self.dialled_links[address].has_fast_heartbeat = has_fast_heartbeat
+        self.dialled_links[address].heartbeat_interval_s = heartbeat_interval_s
 
     def drop(self, address: tuple[str, int]) -> None:
         """Closes and removes the link to an address, if there is one."""
@@ -284,38 +446,45 @@
         try:
             with trio.fail_after(links.HANDSHAKE_TIMEOUT_S):
                 peer_id = await links.authenticate_peer(link, self.identity)
-            session = AcceptedLink(peer_id, Outbox(link), clock.now())
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(session.outbox.run)
-                nursery.start_soon(_end_when_silent, session)
-                await self._receive(link, session)
-                nursery.cancel_scope.cancel()
+            session = AcceptedLink(peer_id, new_link_socket(link), clock.now())
+            self._sessions.add(session)
+            with session.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(session.outbox.flush)
+                    await self._receive(session)
+        except* errors.PeerError as group:
+            self.on_rejected(str(group.exceptions[0]))
         except* (*_LINK_ERRORS, _LinkEndedError):
             pass  # on_session_closed below handles every end of the link
+        except* Exception as group:
+            self.on_error("accepted link", group)
         finally:
-            with trio.CancelScope(shield=True):
-                await link.aclose()
-            if session is not None:
+            if session is None:
+                with trio.CancelScope(shield=True):
+                    await link.aclose()
+            else:
+                self._sessions.discard(session)
+                session.outbox.close()
                 self.on_session_closed(session)
 
-    async def _receive(
-        self, link: links.FramedStream, session: AcceptedLink
-    ) -> None:
+    async def _receive(self, session: AcceptedLink) -> None:
+        decoder = _HeartbeatDecoder()
+        while True:
+            for frame in await session.outbox.receive_frames():
+                session.heard_at = clock.now()
+                message, is_repeated = decoder.decode(frame)
+                if isinstance(message, messages.ZoneState):
+                    check_heartbeat(message, session.peer_id)
+                    session.record_heartbeat(session.heard_at)
+                    session.outbox.post_frame(self.heartbeat_frame())
+                self.on_request(session, message, is_repeated)
+
+    async def run_silence_checks(self) -> None:
+        """Ends accepted links on which no message arrives any more."""
         while True:
-            data = await link.receive_frame()
-            if not data:
-                return
-            session.heard_at = clock.now()
-            message = codec.decode(data).message
-            if isinstance(message, messages.ZoneState):
-                session.outbox.post(self.build_heartbeat(True))
-            self.on_request(session, message)
-
-
-async def _end_when_silent(session: AcceptedLink) -> None:
-    """Ends an accepted link on which no message arrives any more."""
-    while True:
-        await trio.sleep(FAST_HEARTBEAT_INTERVAL_S)
-        if clock.now() - session.heard_at > SLOW_SILENCE_LIMIT_S:
-            session.is_silent = True
-            raise _LinkEndedError("silent")
+            await trio.sleep(SILENCE_CHECK_INTERVAL_S)
+            now = clock.now()
+            for session in list(self._sessions):
+                if session.has_failed(now):
+                    session.is_silent = True
+                    session.scope.cancel()
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -1,14 +1,20 @@
 """Runs a placer and executes its orders on the backend servers.
 
-One coroutine per backend server polls what runs there. One coroutine per
-order waits for its answer.
+Orders and polls are sent at once and report by callbacks. Each backend server
+on which something runs has one long poll in flight; `tick` sends those that are
+due later and ends calls whose time limit has passed.
 """
 
+import heapq
+import itertools
+import math
+
 import attrs
 import trio
 
 from acacialine import clock
 from acacialine import events
+from acacialine import httppool as httppool_lib
 from acacialine import leases
 from acacialine import messages
 from acacialine import orders as orders_lib
@@ -29,6 +35,7 @@
 LOOK_WAIT_MAX_SHARE = 0.4
 POLL_RETRY_S = 0.1
 POLL_RETRY_MAX_S = 0.8
+FENCED_POLL_RETRY_S = 0.1
 FREE_SLOTS_MAX_AGE_S = 0.05  # heartbeats report a count at most this old
 # Demand of a task that is assumed until the first job arrives.
 DEFAULT_DEMAND = resources.Resources(cpu=7000)
@@ -36,11 +43,25 @@
 
 @attrs.define(eq=False)
 class ServerPoller:
-    """Polls one backend server; `wake_event` starts the next poll early."""
+    """Polling of one backend server.
+
+    Attributes:
+        in_flight: Whether a poll was sent and has not ended.
+        not_before: Earliest time of the next poll after a failure.
+        acknowledge_at: When to poll an idle server that still lists ended
+            runs; infinite if not known yet.
+        retry_s: Delay after the next failure.
+        polled_seq: `last_ended_seq` when the poll in flight was sent.
+        due_at: When `tick` next looks at it; infinite if not scheduled.
+    """
 
     client: serverclient.ServerClient
-    cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
-    wake_event: trio.Event = attrs.field(factory=trio.Event)
+    in_flight: bool = False
+    not_before: float = 0.0
+    acknowledge_at: float = math.inf
+    retry_s: float = POLL_RETRY_S
+    polled_seq: int = 0
+    due_at: float = math.inf
 
 
 @attrs.define(eq=False)
@@ -60,7 +81,13 @@
     is_fenced: bool = False
     _dispatcher: object = None
     _nursery: trio.Nursery = None
-    _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _deadlines: httppool_lib.Deadlines = attrs.field(
+        factory=httppool_lib.Deadlines
+    )
+    _due_pollers: list[tuple[float, int, ServerPoller]] = attrs.field(
+        factory=list
+    )
+    _due_numbers: itertools.count = attrs.field(factory=itertools.count)
     _pollers: dict[str, ServerPoller] = attrs.field(factory=dict)
     _last_demand: resources.Resources = DEFAULT_DEMAND
     _is_closed: bool = False
@@ -165,9 +192,10 @@
 
         While the process was suspended, another placer may have taken over.
         """
-        self.placer.handle_process_pause(clock.now())
+        now = clock.now()
+        self.placer.handle_process_pause(now)
         for poller in self._pollers.values():
-            poller.wake_event.set()
+            self._poll_if_due(poller, now)
 
     def apply_servers(self, now: float) -> None:
         """Applies the list of backend servers that the store has."""
@@ -178,35 +206,50 @@
         servers = self.placer.tables.servers
         for server_id, server in servers.items():
             poller = self._pollers.get(server_id)
-            if poller is None or poller.client.server is not server:
-                if poller is not None:
-                    poller.cancel_scope.cancel()
-                self._add_poller(server)
-            elif not server.runs_listed:
-                poller.wake_event.set()
+            if poller is not None and (
+                poller.client.server is not server
+                or poller.client.address != server.address
+            ):
+                self._remove_poller(server_id)
+                poller = None
+            if poller is None:
+                poller = self._add_poller(server)
+            self._poll_if_due(poller, now)
         for server_id in list(self._pollers):
             if server_id not in servers:
-                self._pollers.pop(server_id).cancel_scope.cancel()
+                self._remove_poller(server_id)
 
     def record_list_read(self, sent_at: float) -> None:
         """Records that the list of servers was read by a request sent then."""
         if sent_at >= self.placer.owned_since:
             self.placer.runs.is_list_current = True
 
-    def _add_poller(self, server: zonetables.Server) -> None:
+    def _add_poller(self, server: zonetables.Server) -> ServerPoller:
         settings = self._dispatcher.settings.placement
         client = serverclient.ServerClient(
             server,
             self.epoch,
             settings.lease_ms / 1000,
-            self._handle_poll_result,
+            self,
+            self._deadlines,
+            self._nursery,
         )
         poller = ServerPoller(client)
         self._pollers[server.id] = poller
-        self._nursery.start_soon(self._poll_server, poller)
+        return poller
+
+    def _remove_poller(self, server_id: str) -> None:
+        # Removed first, as its poll in flight reports that it failed.
+        self._pollers.pop(server_id).client.close()
 
     def tick(self, now: float) -> None:
         """Runs a tick of the placer and executes its orders."""
+        self._deadlines.check(now)
+        while self._due_pollers and self._due_pollers[0][0] <= now:
+            due_at, _, poller = heapq.heappop(self._due_pollers)
+            if due_at == poller.due_at:
+                poller.due_at = math.inf
+                self._poll_if_due(poller, now)
         self.placer.tick(now)
         for order in self.placer.take_orders():
             self._execute(order)
@@ -215,9 +258,11 @@
         match order:
             case orders_lib.StartRun(run):
                 self._observe_first_start(run)
-                self._nursery.start_soon(self._start, run)
+                self._start(run)
             case orders_lib.StopRun(run):
-                self._nursery.start_soon(self._stop, run)
+                poller = self._pollers.get(run.server.id)
+                if poller is not None:
+                    poller.client.stop(run)
             case orders_lib.AnswerJob():
                 message = messages.JobVerdict(
                     order.job_id,
@@ -238,78 +283,112 @@
             meter = self._dispatcher.meters.first_start_seconds
             meter.labels(job.queue.name).observe(run.sent_at - job.arrived_at)
 
-    async def _start(self, run: zonetables.Run) -> None:
-        """Starts a run on its backend server and reports the outcome."""
+    def _start(self, run: zonetables.Run) -> None:
+        """Starts a run on its backend server, and polls for its end."""
         poller = self._pollers.get(run.server.id)
-        if poller is None or self._is_closed:
-            outcome = orders_lib.StartOutcome.NOT_STARTED
-        else:
-            poller.wake_event.set()
-            outcome = await poller.client.start(run)
+        if poller is None:
+            self.handle_start_outcome(run, orders_lib.StartOutcome.NOT_STARTED)
+            return
+        poller.client.start(run)
+        self._poll_if_due(poller, clock.now())
+
+    def handle_start_outcome(
+        self, run: zonetables.Run, outcome: orders_lib.StartOutcome
+    ) -> None:
+        """See `serverclient.Observer`."""
         if self._is_closed:
             return
         if outcome == orders_lib.StartOutcome.FENCED:
             self._handle_fencing(run.server)
         self.placer.runs.handle_start_result(run, outcome, clock.now())
-        if poller is not None:
-            poller.wake_event.set()
         self._dispatcher.wake()
 
-    async def _stop(self, run: zonetables.Run) -> None:
-        """Stops a run on its backend server and reports the outcome."""
-        poller = self._pollers.get(run.server.id)
-        if poller is None or self._is_closed:
+    def handle_stop_outcome(self, run: zonetables.Run, confirmed: bool) -> None:
+        """See `serverclient.Observer`."""
+        if self._is_closed:
             return
-        confirmed = await poller.client.stop(run)
-        if not self._is_closed:
-            self.placer.runs.handle_stop_result(run, confirmed, clock.now())
-            poller.wake_event.set()
-            self._dispatcher.wake()
+        now = clock.now()
+        self.placer.runs.handle_stop_result(run, confirmed, now)
+        poller = self._pollers.get(run.server.id)
+        if poller is not None:
+            self._poll_if_due(poller, now)
+        self._dispatcher.wake()
 
-    async def _poll_server(self, poller: ServerPoller) -> None:
-        """Polls one backend server while anything runs there.
+    def _poll_if_due(self, poller: ServerPoller, now: float) -> None:
+        """Sends a poll if none is in flight and one is due, else schedules it.
 
-        Each poll renews the lease of the runs and acknowledges their ends.
+        A poll renews the lease of the runs and acknowledges their ends.
         """
-        settings = self._dispatcher.settings.placement
         server = poller.client.server
-        lease_s = poller.client.lease_s
-        retry_s = POLL_RETRY_S
-        with poller.cancel_scope:
-            while not self._is_closed:
-                wait_s = min(
-                    settings.look_wait_ms / 1000, lease_s * LOOK_WAIT_MAX_SHARE
-                )
+        if poller.in_flight or self._is_closed:
+            return
+        due_at = poller.not_before
+        wait_s = 0.0
+        if server.runs_listed and server.runs:
+            settings = self._dispatcher.settings.placement
+            wait_s = min(
+                settings.look_wait_ms / 1000,
+                poller.client.lease_s * LOOK_WAIT_MAX_SHARE,
+            )
+        elif server.runs_listed:
+            if not server.must_acknowledge:
+                return
+            poller.acknowledge_at = min(
+                poller.acknowledge_at, now + ACKNOWLEDGE_POLL_DELAY_S
+            )
+            due_at = max(due_at, poller.acknowledge_at)
+        if now < due_at:
+            self._schedule(poller, due_at)
+            return
+        poller.in_flight = True
+        poller.due_at = poller.acknowledge_at = math.inf
+        poller.polled_seq = server.last_ended_seq
+        poller.client.poll(wait_s)
+
+    def _schedule(self, poller: ServerPoller, due_at: float) -> None:
+        if due_at < poller.due_at:
+            poller.due_at = due_at
+            heapq.heappush(
+                self._due_pollers, (due_at, next(self._due_numbers), poller)
+            )
+
+    def handle_poll_result(
+        self,
+        server: zonetables.Server,
+        result: orders_lib.PollResult,
+        sent_at: float,
+    ) -> None:
+        """See `serverclient.Observer`."""
+        if not self._is_closed:
+            self.placer.runs.apply_poll(server, result, sent_at, clock.now())
+            self._dispatcher.wake()
+
+    def handle_poll_end(
+        self, server: zonetables.Server, error: Exception | None
+    ) -> None:
+        """See `serverclient.Observer`."""
+        poller = self._pollers.get(server.id)
+        if self._is_closed or poller is None:
+            return
+        now = clock.now()
+        poller.in_flight = False
+        match error:
+            case None:
+                poller.retry_s = POLL_RETRY_S
+                poller.not_before = 0.0
                 if not server.runs_listed:
-                    wait_s = 0.0
-                elif not server.runs:
-                    poller.wake_event = trio.Event()
-                    pause_s = (
-                        ACKNOWLEDGE_POLL_DELAY_S
-                        if server.must_acknowledge
-                        else float("inf")
-                    )
-                    with trio.move_on_after(pause_s):
-                        await poller.wake_event.wait()
-                        continue
-                    wait_s = 0.0
-                last_ended_seq = server.last_ended_seq
-                try:
-                    await poller.client.poll(wait_s)
-                except serverclient.FencedError:
-                    self._handle_fencing(server)
-                    await trio.sleep(POLL_RETRY_S)
-                except serverclient.PollError as error:
-                    self._record_poll_failure(server, error)
-                    await trio.sleep(retry_s)
-                    retry_s = min(retry_s * 2, POLL_RETRY_MAX_S)
-                else:
-                    retry_s = POLL_RETRY_S
-                    if server.last_ended_seq == last_ended_seq:
-                        server.must_acknowledge = False
-                    if not server.runs_listed:
-                        await trio.sleep(UNANNOUNCED_POLL_INTERVAL_S)
-                self._dispatcher.wake()
+                    poller.not_before = now + UNANNOUNCED_POLL_INTERVAL_S
+                if server.last_ended_seq == poller.polled_seq:
+                    server.must_acknowledge = False
+            case serverclient.FencedError():
+                self._handle_fencing(server)
+                poller.not_before = now + FENCED_POLL_RETRY_S
+            case _:
+                self._record_poll_failure(server, error)
+                poller.not_before = now + poller.retry_s
+                poller.retry_s = min(poller.retry_s * 2, POLL_RETRY_MAX_S)
+        self._poll_if_due(poller, now)
+        self._dispatcher.wake()
 
     def _record_poll_failure(
         self, server: zonetables.Server, error: Exception
@@ -327,18 +406,6 @@
         self.placer.runs.handle_lost_ownership(server, clock.now())
         self._dispatcher.wake()
 
-    def _handle_poll_result(
-        self,
-        client: serverclient.ServerClient,
-        result: orders_lib.PollResult,
-        sent_at: float,
-    ) -> None:
-        if not self._is_closed:
-            self.placer.runs.apply_poll(
-                client.server, result, sent_at, clock.now()
-            )
-            self._dispatcher.wake()
-
     def close(self) -> None:
         """Stops issuing orders and hands all jobs back to their origins.
 
@@ -346,7 +413,7 @@
         """
         self._is_closed = True
         for poller in self._pollers.values():
-            poller.cancel_scope.cancel()
+            poller.client.close()
         for job in self.placer.tables.jobs.values():
             for origin in job.origins:
                 origin.post(messages.JobVerdict(job.id, "resigned", "", 0.0))
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -1,17 +1,15 @@
-"""ASGI applications for clients and the load balancer.
+"""HTTP handlers for clients and the load balancer.
 
 Clients submit, cancel and look up jobs over HTTP as the platform defines it.
 """
 
 import math
 import re
-import urllib.parse
 
 import msgspec
-import trio
 
-from acacialine import asgi
 from acacialine import events
+from acacialine import httpserver
 from acacialine import intake
 from acacialine import placer
 from acacialine import resources
@@ -19,6 +17,7 @@
 from acacialine import zonetables
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
+DEFAULT_MAX_BODY_BYTES = 1 << 18  # before the first configuration
 MAX_SPEC_BYTES = 4000  # the platform's limit
 UNSUPPORTED_RETRY_AFTER_S = 60  # only a new release changes the response
 DEFAULT_DEADLINE_S = 60.0  # if neither the request nor its route sets one
@@ -114,7 +113,7 @@
 
 
 class Ingress:
-    """ASGI application that serves the jobs of clients.
+    """Serves the jobs of clients; the handler of an `httpserver.Server`.
 
     It uses `configuration`, `intake`, `wake`, `count_pending_jobs`, `now`,
     `record_answer`, `is_refusing`, `is_stopping` and `log` of the dispatcher.
@@ -123,72 +122,89 @@
     def __init__(self, dispatcher):
         self._dispatcher = dispatcher
 
-    async def __call__(self, scope, receive, send) -> None:
+    def max_body_bytes(self) -> int:
+        """Returns the largest body of a request."""
+        config = self._dispatcher.configuration
+        return config.max_body_bytes if config else DEFAULT_MAX_BODY_BYTES
+
+    def handle(self, exchange: httpserver.Exchange) -> None:
         """Serves one request."""
         config = self._dispatcher.configuration
         if config is None:
-            await self._reply(send, 503, b"", 1)
+            self._reply(exchange, 503, b"", 1)
             return
-        headers = dict(scope["headers"])
-        host = headers.get(b"host", b"").decode("latin-1").lower()
-        path = urllib.parse.unquote(scope["path"])
+        request = exchange.request
+        host = request.headers.get(b"host", b"").decode("latin-1").lower()
+        path = request.path
         route = config.find_route(host, path)
         if route is None and ":" in host:
             route = config.find_route(host.rpartition(":")[0], path)
         if route is None:
-            await self._reply(send, 404)
+            self._reply(exchange, 404)
             return
         job_id = path[len(route.prefix) :]
-        if scope["method"] == "GET" and not job_id:
+        if request.method == "GET" and not job_id:
             count = self._dispatcher.count_pending_jobs(route.queue.name)
-            await self._reply(send, 200, b'{"pending":%d}' % count)
+            self._reply(exchange, 200, b'{"pending":%d}' % count)
         elif not _JOB_ID.fullmatch(job_id):
-            await self._reply(send, 400)
-        elif scope["method"] == "POST":
-            await self._submit(job_id, route, headers, receive, send)
-        elif scope["method"] == "DELETE":
+            self._reply(exchange, 400)
+        elif request.method == "POST":
+            self._submit(exchange, job_id, route)
+        elif request.method == "DELETE":
             was_open = self._dispatcher.intake.cancel(job_id)
             self._dispatcher.wake()
-            await self._reply(send, 200 if was_open else 410)
-        elif scope["method"] == "GET":
-            await self._reply_state(job_id, send)
+            self._reply(exchange, 200 if was_open else 410)
+        elif request.method == "GET":
+            self._reply_state(exchange, job_id)
         else:
-            await self._reply(send, 405)
+            self._reply(exchange, 405)
 
-    async def _reply_state(self, job_id: str, send) -> None:
+    def _reply_state(self, exchange: httpserver.Exchange, job_id: str) -> None:
         if job_id in self._dispatcher.intake.requests:
-            await self._reply(send, 200, b'{"state":"running"}')
+            self._reply(exchange, 200, b'{"state":"running"}')
         else:
-            await self._reply(send, 410)
-
-    async def _submit(self, job_id, route, headers, receive, send) -> None:
-        """Submits a job and replies when it is answered or refused."""
-        limit = self._dispatcher.configuration.max_body_bytes
-        body = await _read_body(receive, limit)
-        if body is None:
-            await self._reply(send, 413)
-            return
+            self._reply(exchange, 410)
+
+    def _submit(
+        self, exchange: httpserver.Exchange, job_id: str, route: routes.Route
+    ) -> None:
+        """Submits a job, whose answer is sent when it is known."""
+        request = exchange.request
         try:
-            left_s = _time_left_s(headers, route)
-            submission = decode_submission(job_id, body, route, left_s)
+            left_s = _time_left_s(request.headers, route)
+            submission = decode_submission(job_id, request.body, route, left_s)
         except MalformedError as error:
-            await self._reject(send, job_id, 400, error)
+            self._reject(exchange, job_id, 400, error)
             return
         except UnsupportedError as error:
-            await self._reject(
-                send, job_id, 503, error, UNSUPPORTED_RETRY_AFTER_S
+            self._reject(
+                exchange, job_id, 503, error, UNSUPPORTED_RETRY_AFTER_S
             )
             return
         if self._dispatcher.is_refusing:
-            await self._reject(send, job_id, 503, "stopping", 1)
+            self._reject(exchange, job_id, 503, "stopping", 1)
             return
+        open_requests = self._dispatcher.intake
         received_at = self._dispatcher.now()
-        answer = await self._await_answer(submission, receive)
-        if answer is not None:
-            await self._reply_answer(send, submission, answer, received_at)
 
-    async def _reject(
-        self, send, job_id, status, error, retry_after_s=0
+        def notify(answer: intake.Answer) -> None:
+            self._reply_answer(exchange, submission, answer, received_at)
+
+        def remove_client() -> None:
+            open_requests.remove_client(job_id, notify)
+            self._dispatcher.wake()
+
+        exchange.on_disconnect = remove_client
+        open_requests.receive(submission, notify, received_at)
+        self._dispatcher.wake()
+
+    def _reject(
+        self,
+        exchange: httpserver.Exchange,
+        job_id: str,
+        status: int,
+        error,
+        retry_after_s: int = 0,
     ) -> None:
         """Logs why a job is rejected and replies to its client."""
         self._dispatcher.log(
@@ -197,40 +213,11 @@
             status=status,
             reason=str(error),
         )
-        await self._reply(send, status, b"", retry_after_s)
+        self._reply(exchange, status, b"", retry_after_s)
 
-    async def _await_answer(self, submission, receive) -> intake.Answer | None:
-        """Returns the answer; None if the client disconnects before it."""
-        answers = []
-        done = trio.Event()
-
-        def notify(answer: intake.Answer) -> None:
-            answers.append(answer)
-            done.set()
-
-        async def wait_for_disconnect() -> None:
-            while (await receive())["type"] != "http.disconnect":
-                pass
-            done.set()
-
-        open_requests = self._dispatcher.intake
-        now = self._dispatcher.now()
-        open_requests.receive(submission, notify, now)
-        self._dispatcher.wake()
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(wait_for_disconnect)
-                await done.wait()
-                nursery.cancel_scope.cancel()
-        finally:
-            if not answers:
-                open_requests.remove_client(submission.job_id, notify)
-                self._dispatcher.wake()
-        return answers[0] if answers else None
-
-    async def _reply_answer(
+    def _reply_answer(
         self,
-        send,
+        exchange: httpserver.Exchange,
         submission: placer.Submission,
         answer: intake.Answer,
         received_at: float,
@@ -247,17 +234,21 @@
         self._dispatcher.record_answer(
             submission, status, answer, self._dispatcher.now() - received_at
         )
-        await self._reply(send, status, body, retry_after_s)
+        self._reply(exchange, status, body, retry_after_s)
 
-    async def _reply(
-        self, send, status: int, body: bytes = b"", retry_after_s: int = 0
+    def _reply(
+        self,
+        exchange: httpserver.Exchange,
+        status: int,
+        body: bytes = b"",
+        retry_after_s: int = 0,
     ) -> None:
-        headers = [_JSON_CONTENT_TYPE]
+        headers = (_JSON_CONTENT_TYPE,)
         if retry_after_s:
-            headers.append((b"retry-after", b"%d" % retry_after_s))
-        if self._dispatcher.is_stopping:
-            headers.append((b"connection", b"close"))
-        await asgi.send_response(send, status, body, headers)
+            headers += ((b"retry-after", b"%d" % retry_after_s),)
+        exchange.answer(
+            status, body, headers, close=self._dispatcher.is_stopping
+        )
 
 
 def _time_left_s(headers: dict, route: routes.Route) -> float:
@@ -281,35 +272,14 @@
     return min(left_s, MAX_DEADLINE_S)
 
 
-async def _read_body(receive, limit: int) -> bytes | None:
-    """Reads a request body; returns None if it exceeds the limit.
-
-    If the client disconnects, returns what has arrived.
-    """
-    chunks = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return b"".join(chunks)
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > limit:
-            return None
-        chunks.append(chunk)
-        if not message.get("more_body", False):
-            return b"".join(chunks)
-
-
 class Readiness:
-    """ASGI application for the readiness check of the load balancer."""
+    """Serves the readiness check; the handler of an `httpserver.Server`."""
 
     def __init__(self, dispatcher):
         self._dispatcher = dispatcher
 
-    async def __call__(self, scope, receive, send) -> None:
+    def handle(self, exchange: httpserver.Exchange) -> None:
         """Replies 200 while the dispatcher accepts new connections."""
-        is_known_path = scope["path"] == "/acacialine/readyz"
+        is_known_path = exchange.request.path == "/acacialine/readyz"
         is_ready = is_known_path and self._dispatcher.is_ready
-        status = 200 if is_ready else (503 if is_known_path else 404)
-        await asgi.send_response(send, status, b"", [])
+        exchange.answer(200 if is_ready else (503 if is_known_path else 404))
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -7,12 +7,14 @@
 server need not list again.
 """
 
+import typing
+
 import attrs
-import httpcore
 import msgspec
 import trio
 
 from acacialine import clock
+from acacialine import errors
 from acacialine import httppool as httppool_lib
 from acacialine import leases
 from acacialine import orders
@@ -50,6 +52,34 @@
     """A poll of a backend server failed."""
 
 
+class Observer(typing.Protocol):
+    """Receives the results of the requests; implemented by the placer host."""
+
+    def handle_start_outcome(
+        self, run: zonetables.Run, outcome: orders.StartOutcome
+    ) -> None:
+        """Handles what the response to a start request proves."""
+
+    def handle_stop_outcome(self, run: zonetables.Run, confirmed: bool) -> None:
+        """Handles whether the response to a stop request confirmed it."""
+
+    def handle_poll_result(
+        self,
+        server: zonetables.Server,
+        result: orders.PollResult,
+        sent_at: float,
+    ) -> None:
+        """Handles the response to a poll that was sent at a time."""
+
+    def handle_poll_end(
+        self, server: zonetables.Server, error: Exception | None
+    ) -> None:
+        """Handles the end of a poll; called after its result, if any.
+
+        The error is a `FencedError` or a `PollError`.
+        """
+
+
 @attrs.define(eq=False)
 class ServerClient:
     """Sends the requests of one zone owner to one backend server.
@@ -60,37 +90,60 @@
     Attributes:
         epoch: Epoch of the owner.
         lease_s: Length in s of the leases that requests carry.
-        on_poll: Called with this client, each poll response and the time at
-            which its request was sent.
+        observer: Receives the results.
         poll_count: Number of polls so far.
     """
 
     server: zonetables.Server
     epoch: int
     lease_s: float
-    on_poll: object
+    observer: Observer
+    _deadlines: httppool_lib.Deadlines
+    _nursery: trio.Nursery
     poll_count: int = 0
-    _connection_pool: httppool_lib.ConnectionPool = attrs.field(init=False)
-    _instance_header: tuple = attrs.field(init=False)
+    _connection_pool: httppool_lib.CallbackPool = attrs.field(init=False)
+    _start_head: bytes = attrs.field(init=False)
+    _stop_head: bytes = attrs.field(init=False)
+    _poll_head: bytes = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self._connection_pool = httppool_lib.ConnectionPool(
-            self.server.address, CONNECT_TIMEOUT_S, self._poll_new_connection
+        address = self.server.address
+        self._connection_pool = httppool_lib.CallbackPool(
+            address,
+            CONNECT_TIMEOUT_S,
+            self._poll_new_connection,
+            self._deadlines,
+            self._nursery,
+        )
+        headers = ((b"expect-instance", self.server.id.encode()),)
+        self._start_head, self._stop_head, self._poll_head = (
+            httppool_lib.new_request_head("POST", target, address, headers)
+            for target in (
+                "/acacialine/run-start",
+                "/acacialine/run-stop",
+                "/acacialine/hold",
+            )
         )
-        self._instance_header = ((b"expect-instance", self.server.id.encode()),)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address that requests are sent to."""
+        return self._connection_pool.address
 
     @property
     def opened_count(self) -> int:
         """Number of connections opened so far."""
         return self._connection_pool.opened
 
-    async def start(self, run: zonetables.Run) -> orders.StartOutcome:
+    def start(self, run: zonetables.Run) -> None:
         """Requests the start of a run, without any retry."""
-        decided_at = run.sent_at
         now = clock.now()
-        if now - decided_at > START_MAX_AGE_S or run.job is None:
+        if now - run.sent_at > START_MAX_AGE_S or run.job is None:
             # The request is too old, or the job ended after the decision.
-            return orders.StartOutcome.NOT_STARTED
+            self.observer.handle_start_outcome(
+                run, orders.StartOutcome.NOT_STARTED
+            )
+            return
         lease = leases.new_lease(self.server, self.lease_s, now)
         run.not_after = max(run.not_after, lease.ends_by)
         body = {
@@ -101,69 +154,83 @@
             "fencingToken": self.epoch,
         }
         self.server.lease_until = max(self.server.lease_until, lease.ends_by)
-        try:
-            reply = await self._connection_pool.call(
-                "POST",
-                "/acacialine/run-start",
-                msgspec.json.encode(body),
+
+        def on_reply(reply: httppool_lib.Reply) -> None:
+            self.observer.handle_start_outcome(run, _start_outcome(reply))
+
+        def on_failure(error: errors.AcacialineError) -> None:
+            outcome = orders.StartOutcome.UNKNOWN
+            if isinstance(error, httppool_lib.NotSentError):
+                outcome = orders.StartOutcome.UNHEALTHY
+            self.observer.handle_start_outcome(run, outcome)
+
+        self._connection_pool.send(
+            httppool_lib.Call(
+                httppool_lib.finish_request(
+                    self._start_head, msgspec.json.encode(body)
+                ),
                 START_TIMEOUT_S,
-                self._instance_header,
-                decided_at + START_MAX_AGE_S,
+                on_reply,
+                on_failure,
+                run.sent_at + START_MAX_AGE_S,
             )
-        except httppool_lib.NotSentError:
-            return orders.StartOutcome.UNHEALTHY
-        except httppool_lib.NoAnswerError:
-            return orders.StartOutcome.UNKNOWN
-        return _start_outcome(reply)
+        )
 
-    async def stop(self, run: zonetables.Run) -> bool:
-        """Requests the stop of a run; returns whether it was confirmed."""
+    def stop(self, run: zonetables.Run) -> None:
+        """Requests the stop of a run."""
         body = {
             "task": str(run.key),
             "run": run.number,
             "fencingToken": self.epoch,
         }
-        try:
-            reply = await self._connection_pool.call(
-                "POST",
-                "/acacialine/run-stop",
-                msgspec.json.encode(body),
+
+        def on_reply(reply: httppool_lib.Reply) -> None:
+            self.observer.handle_stop_outcome(run, reply.status == 200)
+
+        def on_failure(error: errors.AcacialineError) -> None:
+            self.observer.handle_stop_outcome(run, False)
+
+        self._connection_pool.send(
+            httppool_lib.Call(
+                httppool_lib.finish_request(
+                    self._stop_head, msgspec.json.encode(body)
+                ),
                 STOP_TIMEOUT_S,
-                self._instance_header,
+                on_reply,
+                on_failure,
             )
-        except (httppool_lib.NotSentError, httppool_lib.NoAnswerError):
-            return False
-        return reply.status == 200
+        )
 
-    async def poll(self, wait_s: float) -> None:
+    def poll(self, wait_s: float) -> None:
         """Lists all runs of the server and renews their lease if needed.
 
         Args:
             wait_s: Longest time in s that the server waits for a run to end
                 before it responds.
-
-        Raises:
-            FencedError: Another owner has a higher epoch.
-            PollError: The server did not respond, refused, or sent a
-                malformed response.
         """
         sent_at = clock.now()
-        body = self._encode_poll(sent_at, wait_s)
-        try:
-            reply = await self._connection_pool.call(
-                "POST",
-                "/acacialine/hold",
-                body,
+
+        def on_reply(reply: httppool_lib.Reply) -> None:
+            try:
+                self._handle_poll_response(reply, sent_at)
+            except (FencedError, PollError) as error:
+                self.observer.handle_poll_end(self.server, error)
+            else:
+                self.observer.handle_poll_end(self.server, None)
+
+        def on_failure(error: errors.AcacialineError) -> None:
+            self.observer.handle_poll_end(self.server, PollError(str(error)))
+
+        self._connection_pool.send(
+            httppool_lib.Call(
+                self._new_poll_request(sent_at, wait_s),
                 wait_s + POLL_TIMEOUT_S,
-                self._instance_header,
+                on_reply,
+                on_failure,
             )
-        except httppool_lib.NotSentError as error:
-            raise PollError(str(error)) from error
-        except httppool_lib.NoAnswerError as error:
-            raise PollError(str(error)) from error
-        self._handle_poll_response(reply, sent_at)
+        )
 
-    def _encode_poll(self, now: float, wait_s: float) -> bytes:
+    def _new_poll_request(self, now: float, wait_s: float) -> bytes:
         server = self.server
         self.poll_count += 1
         content = {
@@ -176,7 +243,9 @@
             content["deadlineMs"] = lease.deadline_ms
         if wait_s > 0:
             content["waitMs"] = round(wait_s * 1000)
-        return msgspec.json.encode(content)
+        return httppool_lib.finish_request(
+            self._poll_head, msgspec.json.encode(content)
+        )
 
     def _handle_poll_response(
         self, reply: httppool_lib.Reply, sent_at: float
@@ -187,31 +256,28 @@
             raise PollError(f"status {reply.status}")
         try:
             response = _decode_poll_response(reply.body)
-        except (ValueError, KeyError, TypeError) as error:
+        except ValueError as error:
             raise PollError(f"malformed response: {error!r}") from error
         leases.observe_clock(self.server, response.server_clock_ms, clock.now())
-        self.on_poll(self, response, sent_at)
+        self.observer.handle_poll_result(self.server, response, sent_at)
 
     async def _poll_new_connection(
-        self, connection: httpcore.AsyncHTTP11Connection
+        self, connection: httppool_lib.Connection
     ) -> None:
         """Checks that a new connection reaches the known incarnation.
 
         Raises:
             httppool_lib.NotSentError: The server refused the poll, sent a
                 malformed response or has restarted.
+            httppool_lib.NoAnswerError: The connection failed.
             trio.TooSlowError: The server did not respond in time.
         """
         sent_at = clock.now()
         known_incarnation = self.server.incarnation
         was_listed = self.server.runs_listed
         with trio.fail_after(POLL_TIMEOUT_S):
-            reply = await self._connection_pool.exchange(
-                connection,
-                "POST",
-                "/acacialine/hold",
-                self._encode_poll(sent_at, 0),
-                self._instance_header,
+            reply = await connection.exchange(
+                self._new_poll_request(sent_at, 0)
             )
         try:
             self._handle_poll_response(reply, sent_at)
@@ -220,16 +286,16 @@
         if was_listed and self.server.incarnation != known_incarnation:
             raise httppool_lib.NotSentError("the backend server has restarted")
 
-    async def aclose(self) -> None:
-        """Closes the idle connections."""
-        await self._connection_pool.aclose()
+    def close(self) -> None:
+        """Closes all connections and fails the requests in flight."""
+        self._connection_pool.close()
 
 
 def _reason(reply: httppool_lib.Reply) -> str:
     """Returns the reason of a refusal; empty if the body has none."""
     try:
         return str(msgspec.json.decode(reply.body).get("reason", ""))
-    except (ValueError, AttributeError):
+    except (ValueError, AttributeError, RecursionError):
         return ""
 
 
@@ -262,21 +328,35 @@
 
 
 def _decode_poll_response(body: bytes) -> orders.PollResult:
-    content = msgspec.json.decode(body)
-    running = tuple(
-        orders.RunningRow(decode_task_key(row[0]), int(row[1]), int(row[3]))
-        for row in content.get("running", ())
-    )
-    ended = tuple(
-        orders.EndedRow(
-            int(row[0]),
-            decode_task_key(row[1]),
-            int(row[2]),
-            _END_KINDS.get(row[3], zonetables.EndKind.FAILED),
+    """Decodes the response to a poll.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    try:
+        content = msgspec.json.decode(body)
+        running = tuple(
+            orders.RunningRow(decode_task_key(row[0]), int(row[1]), int(row[3]))
+            for row in content.get("running", ())
+        )
+        ended = tuple(
+            orders.EndedRow(
+                int(row[0]),
+                decode_task_key(row[1]),
+                int(row[2]),
+                _END_KINDS.get(row[3], zonetables.EndKind.FAILED),
+            )
+            for row in content.get("endedRuns", ())
+        )
+        return orders.PollResult(
+            int(content.get("born", 0)), int(content["clockMs"]), running, ended
         )
-        for row in content.get("endedRuns", ())
-    )
-    incarnation = int(content.get("born", 0))
-    return orders.PollResult(
-        incarnation, int(content["clockMs"]), running, ended
-    )
+    except (
+        AttributeError,
+        IndexError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+    ) as error:
+        raise ValueError(f"unexpected content: {error!r}") from error
--- a/acacialine/prometheusmetrics.py
+++ b/acacialine/prometheusmetrics.py
@@ -3,7 +3,7 @@
 import prometheus_client
 from prometheus_client import exposition
 
-from acacialine import asgi
+from acacialine import httpserver
 
 # Upper bounds from below a task of 50 ms to beyond a client's timeout.
 _LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
@@ -77,13 +77,11 @@
             buckets=_LATENCY_BUCKETS_S,
         )
 
-    async def __call__(self, scope, receive, send) -> None:
-        """Serves the metrics as an ASGI application at /metrics."""
-        if scope["path"] != "/metrics":
-            await asgi.send_response(send, 404, b"", [])
+    def handle(self, exchange: httpserver.Exchange) -> None:
+        """Serves the metrics at /metrics."""
+        if exchange.request.path != "/metrics":
+            exchange.answer(404)
             return
         body = exposition.generate_latest(self.registry)
         content_type = exposition.CONTENT_TYPE_LATEST.encode()
-        await asgi.send_response(
-            send, 200, body, [(b"content-type", content_type)]
-        )
+        exchange.answer(200, body, ((b"content-type", content_type),))
--- a/acacialine/tests/support.py
+++ b/acacialine/tests/support.py
@@ -1,6 +1,7 @@
 """Builders of test data and helpers for integration tests."""
 
 import contextlib
+import os
 import random
 
 import attrs
@@ -18,7 +19,9 @@
 from acacialine import tables as tables_lib
 from acacialine.tools import layout as layout_lib
 from acacialine.tools import local as local_lib
+from acacialine.tools import ports as ports_lib
 
+FUZZ_EXAMPLES = int(os.environ.get("ACACIALINE_EXAMPLES", "200"))
 TOKEN = "test-token"
 OTHER_TOKEN = "other-token"
 # Settings with short intervals, so that tests take little time.
@@ -233,6 +236,11 @@
         yield local
 
 
+def reserve_ports(count: int) -> list[int]:
+    """Returns loopback ports on which nothing listens."""
+    return ports_lib.reserve(count)
+
+
 def run(function, *args, seconds: float = 60) -> None:
     """Runs an async test function with a time limit."""
 
--- a/acacialine/tests/test_platform.py
+++ b/acacialine/tests/test_platform.py
@@ -4,9 +4,9 @@
 import unittest
 
 import msgspec
-import trio
 
 from acacialine import clock
+from acacialine import httppool
 from acacialine import orders
 from acacialine import routes
 from acacialine import zonetables
@@ -151,9 +151,14 @@
         placer.tick(clock.now())
         run, _ = build.starts(placer.take_orders())
         placer.cancel(run.key.job_id, "entry", "caller left", clock.now())
-        client = serverclient.ServerClient(run.server, 1, 1.0, self.fail)
-        outcome = trio.run(client.start, run)
-        self.assertIs(outcome, orders.StartOutcome.NOT_STARTED)
+        observer = build.ServerObserver()
+        client = serverclient.ServerClient(
+            run.server, 1, 1.0, observer, httppool.Deadlines(), None
+        )
+        client.start(run)
+        self.assertEqual(
+            observer.outcomes, [(run, orders.StartOutcome.NOT_STARTED)]
+        )
 
 
 class DeadlineTest(unittest.TestCase):
--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -53,6 +53,28 @@
     return built
 
 
+class ServerObserver:
+    """Records what a client of a backend server reports."""
+
+    def __init__(self):
+        self.outcomes = []
+        self.stops = []
+        self.polls = []
+        self.poll_errors = []
+
+    def handle_start_outcome(self, run, outcome):
+        self.outcomes.append((run, outcome))
+
+    def handle_stop_outcome(self, run, confirmed):
+        self.stops.append((run, confirmed))
+
+    def handle_poll_result(self, server, result, sent_at):
+        self.polls.append(result)
+
+    def handle_poll_end(self, server, error):
+        self.poll_errors.append(error)
+
+
 def starts(new_orders: list) -> list[zonetables.Run]:
     """Returns the runs of the start orders."""
     return [o.run for o in new_orders if isinstance(o, orders.StartRun)]
--- a/acacialine/tools/commands.py
+++ b/acacialine/tools/commands.py
@@ -112,6 +112,39 @@
     _print_figures(trio.run(startcost.measure), form)
 
 
+@bench.command("order-cost")
+@_FORMAT
+def bench_order_cost(form: str) -> None:
+    """Compares the CPU time of an order to that of a connection of httpcore."""
+    import trio
+
+    from acacialine.tools import ordercost
+
+    _print_figures(trio.run(ordercost.measure), form)
+
+
+@bench.command("placer-cost")
+@click.option("--servers", default=24, show_default=True)
+@click.option(
+    "--starts-per-s",
+    type=(float, float),
+    default=(40.0, 160.0),
+    show_default=True,
+    help="Starts a second of the two loads.",
+)
+@click.option("--seconds", default=8.0, show_default=True)
+@_FORMAT
+def bench_placer_cost(servers, starts_per_s, seconds, form) -> None:
+    """Measures the CPU time of a placer per start."""
+    import trio
+
+    from acacialine.tools import placercost
+
+    _print_figures(
+        trio.run(placercost.measure, servers, starts_per_s, seconds), form
+    )
+
+
 @bench.command("slopes")
 @_FORMAT
 def bench_slopes(form) -> None:
--- a/acacialine/tools/ports.py
+++ b/acacialine/tools/ports.py
@@ -5,6 +5,7 @@
 a listener that sets SO_REUSEADDR, as all of ours do, can still use it.
 """
 
+import atexit
 import socket
 
 HOST = "127.0.0.1"
@@ -25,3 +26,9 @@
         _reservations[port] = reservation
         ports.append(port)
     return ports
+
+
+@atexit.register
+def _release_all() -> None:
+    for reservation in _reservations.values():
+        reservation.close()
--- a/acacialine/tools/zonecluster.py
+++ b/acacialine/tools/zonecluster.py
@@ -129,19 +129,25 @@
         """Number of requests by status."""
         return collections.Counter(e.status for e in self.exchanges)
 
-    async def start(self, servers: list[str], entries: dict[str, str]) -> None:
+    async def start(
+        self,
+        servers: list[str],
+        entries: dict[str, str],
+        proxied: bool = True,
+    ) -> None:
         """Starts servers and dispatchers and waits until all are ready.
 
         Args:
             servers: Zone of each server; names are i-0, i-1, ...
             entries: Zone of each dispatcher, by name.
+            proxied: Whether a fault proxy runs in front of each server.
         """
         await self.nursery.start(
             http.new_server(self.store, ("127.0.0.1", self._store_port))
         )
         self.publish("/jobs/")
         for index, zone in enumerate(servers):
-            await self.add_server(f"i-{index}", zone)
+            await self.add_server(f"i-{index}", zone, proxied=proxied)
         self.dispatchers = dict(entries)
         for name in entries:
             await self._add_dispatcher(name)
@@ -175,17 +181,19 @@
         return route
 
     async def add_server(
-        self, server_id: str, zone: str, cpu: int = 16000
+        self, server_id: str, zone: str, cpu: int = 16000, proxied: bool = True
     ) -> None:
-        """Adds a fake backend server behind a fault proxy."""
+        """Adds a fake backend server, behind a fault proxy if `proxied`."""
         port, proxy_port = ports_lib.reserve(2)
+        announced_port = proxy_port if proxied else port
         fake_server = self.fake_servers.add(server_id, cpu)
         endpoint = zonestandin.FakeServerEndpoint(
-            fake_server, zone, ("127.0.0.1", proxy_port), self.store
-        )
-        self.server_routes[server_id] = await self._start_proxy(
-            proxy_port, port
+            fake_server, zone, ("127.0.0.1", announced_port), self.store
         )
+        if proxied:
+            self.server_routes[server_id] = await self._start_proxy(
+                proxy_port, port
+            )
         self.servers.append(endpoint)
         await self.nursery.start(http.new_server(endpoint, ("127.0.0.1", port)))
         self.nursery.start_soon(endpoint.run_heartbeat)
--- a/acacialine/tools/zonestandin.py
+++ b/acacialine/tools/zonestandin.py
@@ -129,6 +129,7 @@
             answer, `unwell` answers 503; empty for no fault.
         is_unresponsive: Whether it answers no request.
         start_times: Times of the starts.
+        polls: Number of polls.
     """
 
     fake_server: fakeservers.FakeServer
@@ -139,6 +140,7 @@
     is_unresponsive: bool = False
     state: str = "ready"
     start_times: list[float] = attrs.field(factory=list)
+    polls: int = 0
     _incarnation: int = attrs.field(factory=lambda: round(time.time() * 1000))
     _seq: int = 0
     _incarnation_of_client: dict[object, int] = attrs.field(factory=dict)
@@ -250,6 +252,7 @@
         return 409, "fence"
 
     async def _handle_poll(self, content: dict, send) -> None:
+        self.polls += 1
         answer_by = clock.now() + min(
             content.get("waitMs", 0) / 1000, MAX_POLL_WAIT_S
         )
