Malformed input at every door: fuzzed, and what it broke is mended

Causes, found by test_fuzz and each shown by it on the code before: - A malformed frame of a peer ended the process: pycapnp's decoder of the packed encoding throws in a destructor. `codec` expands frames itself now. - Deeply nested or huge numbers in JSON raised RecursionError or OverflowError out of the ingress, the records of the store and the answers of backend servers; routes whose prefix, name or service is no string, or whose numbers are infinite, were put in force and failed each request. - Numbers of a submission that no peer sends (infinite, not a number) reached the placer; they close the link. - A settings file that does not begin with a section raised AttributeError instead of a finding.

The placer keeps slots, waiting work and unclaimed runs as they change; log lines go to the sink directly and are written once a tick; the election and the links are looked at when a peer changes. Not measured alone yet.

--- a/acacialine/codec.py
+++ b/acacialine/codec.py
@@ -17,6 +17,11 @@
 
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("acacialine.capnp")))
 MAX_TRAVERSAL_WORDS = 1 << 24  # in 8-byte words: 128 MB per decoded frame
+WORD_BYTES = 8
+# Positions of the bytes of a word that are not zero, by its tag.
+_LITERAL_BYTES = tuple(
+    tuple(i for i in range(WORD_BYTES) if tag >> i & 1) for tag in range(256)
+)
 
 
 @attrs.frozen
@@ -127,20 +132,69 @@
         errors.PeerError: The bytes are not a frame with a known message.
     """
     try:
-        reader = _SCHEMA.Frame.from_bytes_packed(
-            data, traversal_limit_in_words=MAX_TRAVERSAL_WORDS
-        )
-        name = reader.which()
-        mapping = _MAPPINGS_BY_NAME.get(str(name))
-        if mapping is None:
-            raise errors.PeerError("frame without a known message")
-        message = _read_message(mapping, getattr(reader, str(name)))
-        return Frame(reader.requestId, message)
+        with _SCHEMA.Frame.from_bytes(
+            _unpack(data), traversal_limit_in_words=MAX_TRAVERSAL_WORDS
+        ) as reader:
+            name = str(reader.which())
+            mapping = _MAPPINGS_BY_NAME.get(name)
+            if mapping is None:
+                raise errors.PeerError("frame without a known message")
+            message = _read_message(mapping, getattr(reader, name))
+            return Frame(reader.requestId, message)
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         reason = str(error).splitlines()[0]
         raise errors.PeerError(f"malformed frame: {reason}") from error
 
 
+def _unpack(data: bytes) -> bytes:
+    """Expands the packed encoding of Cap'n Proto.
+
+    pycapnp's own decoder of this encoding ends the process on some malformed
+    input, by an exception in a destructor. The tag of a word has one bit for
+    each of its bytes that is not zero. The tag 0 is followed by a number of
+    further zero words, the tag 255 by a number of further literal words.
+
+    Raises:
+        errors.PeerError: The data is truncated or expands too far.
+    """
+    parts = []
+    size = 0
+    position = 0
+    end = len(data)
+    while position < end:
+        tag = data[position]
+        position += 1
+        literal = _LITERAL_BYTES[tag]
+        word = data[position : position + len(literal)]
+        position += len(literal)
+        count = 0
+        if tag in (0, 255):
+            if position >= end:
+                raise errors.PeerError("malformed frame: truncated")
+            count = data[position]
+            position += 1
+        if len(word) < len(literal):
+            raise errors.PeerError("malformed frame: truncated")
+        if tag == 255:
+            parts.append(word)
+            rest = data[position : position + WORD_BYTES * count]
+            if len(rest) < WORD_BYTES * count:
+                raise errors.PeerError("malformed frame: truncated")
+            parts.append(rest)
+            position += len(rest)
+        elif tag == 0:
+            parts.append(bytes(WORD_BYTES * (1 + count)))
+        else:
+            expanded = bytearray(WORD_BYTES)
+            for index, byte in zip(literal, word, strict=True):
+                expanded[index] = byte
+            parts.append(expanded)
+        size += 1 + count
+        if size > MAX_TRAVERSAL_WORDS:
+            raise errors.PeerError("malformed frame: expands too far")
+    return b"".join(parts)
+
+
 def _read_message(mapping: _MessageMapping, reader):
     values = {}
     for field in mapping.fields:
--- a/acacialine/directory.py
+++ b/acacialine/directory.py
@@ -58,17 +58,20 @@
             self._zones = frozenset(r.zone for r in self.records.values())
         return self._zones
 
-    def apply(self, key: str, value: bytes, now: float) -> None:
+    def apply(self, key: str, value: bytes, now: float) -> bool:
         """Applies one record; an empty value deletes the record of the key.
 
+        Returns:
+            Whether a record has changed.
+
         Raises:
             ValueError: The value is malformed.
         """
-        self._zones = None
         if not value:
-            self.records.pop(key, None)
+            self._zones = None
             self.renewed_at.pop(key, None)
-            return
+            return self.records.pop(key, None) is not None
+        known = self.records.get(key)
         record = msgspec.json.decode(value, type=EntryRecord)
         if record.id != key:
             raise ValueError(f"the record names another id: {record.id!r}")
@@ -80,8 +83,12 @@
         for other in list(self.records.values()):
             if other.address == record.address and other.id != key:
                 self.apply(other.id, b"", now)
-        self.records[key] = record
         self.renewed_at[key] = now
+        if record == known:
+            return False
+        self._zones = None
+        self.records[key] = record
+        return True
 
     def expired_keys(self, age_s: float, now: float) -> list[str]:
         """Returns the keys of records not renewed for more than age_s."""
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import math
 import random
 import time
 import traceback
@@ -37,6 +38,9 @@
 
 BUSY_TICK_INTERVAL_S = 0.02  # while requests or runs are open
 IDLE_TICK_INTERVAL_S = 0.1
+# A change of the peers is looked at with the next tick, and what depends on the
+# time at this interval.
+PEERS_CHECK_INTERVAL_S = 0.02
 SLOW_TICK_S = 0.0003  # exceeded in a zone with many backend servers
 # Pause after a slow tick, as a multiple of the tick's duration.
 SLOW_TICK_PAUSE_FACTOR = 4.0
@@ -99,6 +103,7 @@
     _random: random.Random = attrs.field(factory=random.Random)
     _http_servers: list[httpserver.Server] = attrs.field(factory=list)
     _last_tick_at: float = 0.0
+    _peers_checked_at: float = -math.inf
     _average_lag_s: float = 0.0
     _lagging_until: float = 0.0
 
@@ -165,7 +170,7 @@
     def log(self, event: events.Event, **fields) -> None:
         """Logs and counts one event."""
         self.logger.event(event, **fields)
-        self.meters.events.labels(event.name.lower()).inc()
+        self.meters.count_event(event)
 
     def record_answer(
         self,
@@ -267,6 +272,7 @@
             self._wake_event = trio.Event()
             started_at = clock.now()
             self._tick(started_at)
+            self.logger.sink.flush()
             took_s = clock.now() - started_at
             if took_s > SLOW_TICK_S:
                 # Batches what arrives during the pause into the next tick.
@@ -288,11 +294,17 @@
             if self.placer_host is not None:
                 self.placer_host.resume_after_pause()
         self._last_tick_at = now
-        self._update_ownership(now)
-        self.intake.zones = self.store_reader.directory.zones.union(
-            self.settings.dispatcher.zones
-        )
-        self.intake.update_placers(self._reachable_placers(now), now)
+        if self.placer_host is not None and self.placer_host.is_fenced:
+            self.log(events.Event.ZONE_FENCED, epoch=self.ownership.epoch)
+            self.ownership.step_down_fenced(now)
+            self._give_up_ownership("fenced")
+        if now >= self._peers_checked_at + PEERS_CHECK_INTERVAL_S:
+            self._peers_checked_at = now
+            self._update_ownership(now)
+            self.intake.zones = self.store_reader.directory.zones.union(
+                self.settings.dispatcher.zones
+            )
+            self.intake.update_placers(self._reachable_placers(now), now)
         self.intake.tick(now)
         for order in self.intake.take_orders():
             self._execute(order)
@@ -307,6 +319,11 @@
             )
             self.placer_host.tick(now)
 
+    def _wake_for_peers(self) -> None:
+        """Schedules a tick that also looks at the peers."""
+        self._peers_checked_at = -math.inf
+        self.wake()
+
     def _update_ownership(self, now: float) -> None:
         """Starts or closes the placer as the ownership of the zone changes."""
         for link in self.hub.dialled_links.values():
@@ -315,10 +332,6 @@
                 member.refuses_connections = True
         if self.ownership.awaits_connectivity_proof:
             self.store_reader.request_record_write()
-        if self.placer_host is not None and self.placer_host.is_fenced:
-            self.log(events.Event.ZONE_FENCED, epoch=self.ownership.epoch)
-            self.ownership.step_down_fenced(now)
-            self._give_up_ownership("fenced")
         random_bits = self._random.getrandbits(ownership_lib.EPOCH_RANDOM_BITS)
         match self.ownership.decide(now, time.time(), random_bits):
             case ownership_lib.Role.PLACER:
@@ -515,7 +528,7 @@
                 if message.config_version > version:
                     link.post(messages.RoutesCall(version))
                 if not is_repeated:
-                    self.wake()
+                    self._wake_for_peers()
             case messages.JobVerdict():
                 self._receive_verdict(link.peer_id, message)
             case messages.KeptConfirmed(job_id):
@@ -546,8 +559,9 @@
         match message:
             case messages.ZoneState():
                 self._receive_zone_state(message)
-                if is_repeated:
-                    return
+                if not is_repeated:
+                    self._wake_for_peers()
+                return
             case messages.SubmitJob() if self.placer_host is not None:
                 submission = placerhost.decode_submission(message)
                 self.placer_host.submit(submission, session.outbox)
@@ -591,15 +605,19 @@
             peer=link.heartbeat.name,
             zone=link.zone,
         )
+        self.link_manager.request_update()
+        self._wake_for_peers()
 
     def _on_link_closed(self, link: peering.PeerLink, reason: str) -> None:
         self.log(
             events.Event.PEER_DISCONNECTED, peer=link.peer_id, reason=reason
         )
-        self.wake()
+        self.link_manager.request_update()
+        self._wake_for_peers()
 
     def _on_link_change(self, link: peering.PeerLink) -> None:
-        self.wake()
+        self.link_manager.request_update()
+        self._wake_for_peers()
 
     def _on_peer_rejected(self, reason: str) -> None:
         self.log(events.Event.PEER_REJECTED, reason=reason)
--- a/acacialine/eventlog.py
+++ b/acacialine/eventlog.py
@@ -4,8 +4,9 @@
 where TIME is the time of day in UTC. docs/EVENTS.md lists the events.
 """
 
-import datetime
+import functools
 import logging as python_logging
+import time
 
 from absl import logging
 
@@ -50,25 +51,36 @@
 
 
 class _SinkHandler(python_logging.Handler):
-    """Formats the records of absl's logger and passes them to the sink."""
+    """Passes the records of absl's logger to the sink."""
 
     def __init__(self, sink: logsink.Sink):
         super().__init__()
         self._sink = sink
 
     def emit(self, record: python_logging.LogRecord) -> None:
-        created = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
-        time_text = created.strftime("%H:%M:%S.%f")[:-3]
         is_priority = record.levelno >= python_logging.WARNING
-        level = "W" if is_priority else "I"
-        line = f"{time_text} {level} {record.getMessage()}"
+        line = _format_line(record.created, is_priority, record.getMessage())
         self._sink.put(line, is_priority)
 
 
+@functools.lru_cache(maxsize=2)
+def _format_second(second: int) -> str:
+    """Formats the time of day of a time in whole s since 1970, in UTC."""
+    return time.strftime("%H:%M:%S", time.gmtime(second))
+
+
+def _format_line(created: float, is_priority: bool, text: str) -> str:
+    second = int(created)
+    milliseconds = int((created - second) * 1000)
+    level = "W" if is_priority else "I"
+    return f"{_format_second(second)}.{milliseconds:03d} {level} {text}"
+
+
 class EventLog:
     """Writes the events of one process, named by `source`.
 
-    Lines over the budget of the sink are dropped and counted.
+    Events go to the sink directly, as a record of absl's logger costs several
+    times as much. Lines over the budget of the sink are dropped and counted.
     """
 
     def __init__(self, source: str, sink: logsink.Sink):
@@ -78,11 +90,9 @@
 
     def event(self, event: events.Event, **fields) -> None:
         """Writes one event with its fields."""
-        line = log.format_event(event, self._source, fields)
-        if event in _PRIORITY_EVENTS:
-            logging.warning("%s", line)
-        else:
-            logging.info("%s", line)
+        is_priority = event in _PRIORITY_EVENTS
+        text = log.format_event(event, self._source, fields)
+        self.sink.put(_format_line(time.time(), is_priority, text), is_priority)
 
     def flush(self) -> None:
         """Writes buffered lines and reports dropped ones."""
@@ -98,7 +108,7 @@
 
     Replaces the handlers of absl's logger, so that its records go there too.
     """
-    sink = logsink.Sink(fd)
+    sink = logsink.Sink(fd, is_batched=True)
     logger = logging.get_absl_logger()
     logger.handlers = [_SinkHandler(sink)]
     logger.propagate = False
--- a/acacialine/ini.py
+++ b/acacialine/ini.py
@@ -97,6 +97,10 @@
     parsed = ParsedText(source, {}, [])
     try:
         parser.read_string(text, source)
+    except configparser.MissingSectionHeaderError as error:
+        message = f"is before the first section: {error.line.strip()}"
+        parsed.findings.append(Finding(source, error.lineno, "", "", message))
+        return parsed
     except configparser.ParsingError as error:
         for line, content in error.errors:
             message = f"is not an INI line: {content.strip()}"
--- a/acacialine/linkmanager.py
+++ b/acacialine/linkmanager.py
@@ -15,6 +15,9 @@
 from acacialine import topology
 
 LINK_UPDATE_INTERVAL_S = 0.3
+# Without a change the links are updated at this interval, as peers become
+# unreachable by their silence.
+UNCHANGED_UPDATE_INTERVAL_S = 1.2
 # Heartbeat timeout of a non-candidate: three of its longest intervals.
 NON_CANDIDATE_SILENT_S = 2.4
 MAX_LINKS_PER_REMOTE_ZONE = 2  # if the store has several claims or none
@@ -32,16 +35,28 @@
     _dispatcher: object
     is_senior: bool = True
     _zone_by_peer: dict[str, str] = attrs.field(factory=dict)
+    _update_requested: trio.Event = attrs.field(factory=trio.Event)
 
     def add_peer(self, peer_id: str, zone: str) -> None:
         """Records that a dispatcher exists, and its zone."""
-        self._zone_by_peer[peer_id] = zone
+        if self._zone_by_peer.get(peer_id) != zone:
+            self._zone_by_peer[peer_id] = zone
+            self.request_update()
+
+    def request_update(self) -> None:
+        """Requests an update of the links, as a peer or link has changed."""
+        self._update_requested.set()
 
     async def run(self, nursery: trio.Nursery) -> None:
-        """Updates the links periodically until cancelled."""
+        """Updates the links when something changes, until cancelled."""
         while True:
+            self._update_requested = trio.Event()
             self._update_links(nursery)
             await trio.sleep(LINK_UPDATE_INTERVAL_S)
+            with trio.move_on_after(
+                UNCHANGED_UPDATE_INTERVAL_S - LINK_UPDATE_INTERVAL_S
+            ):
+                await self._update_requested.wait()
 
     def _update_links(self, nursery: trio.Nursery) -> None:
         dispatcher = self._dispatcher
--- a/acacialine/log.py
+++ b/acacialine/log.py
@@ -3,6 +3,8 @@
 `eventlog` formats events alike, but writes them to standard output.
 """
 
+import re
+
 from absl import flags
 from absl import logging
 
@@ -21,6 +23,9 @@
     }
 )
 
+_EVENT_TEXTS = {e: f"E{e.value} {e.name.lower()}" for e in events.Event}
+_QUOTED_CHARACTERS = re.compile('[ "\n=]')
+
 
 class Logger:
     """Writes the numbered events of one process, named by `source`.
@@ -49,13 +54,13 @@
 
 def format_event(event: events.Event, source: str, fields: dict) -> str:
     """Formats an event as one line of key=value pairs."""
-    pairs = " ".join(f"{k}={_format_value(v)}" for k, v in fields.items())
-    return f"E{event.value} {event.name.lower()} at={source} {pairs}"
+    pairs = " ".join([f"{k}={_format_value(v)}" for k, v in fields.items()])
+    return f"{_EVENT_TEXTS[event]} at={source} {pairs}"
 
 
 def _format_value(value) -> str:
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
-    if not text or any(c in text for c in ' "\n='):
+    if not text or _QUOTED_CHARACTERS.search(text):
         return '"' + text.replace('"', "'").replace("\n", "\\n") + '"'
     return text
 
--- a/acacialine/logsink.py
+++ b/acacialine/logsink.py
@@ -16,6 +16,7 @@
 MAX_BYTES_PER_S = 100_000
 PRIORITY_SHARE = 0.3  # of the budget, reserved for priority lines
 MAX_BUFFER_BYTES = 262_144
+BATCH_BYTES = 4096
 DROP_REPORT_INTERVAL_S = 1.0
 
 
@@ -24,12 +25,15 @@
     """Writes lines to a file descriptor, which it makes non-blocking.
 
     Attributes:
+        is_batched: Whether `put` only buffers, up to BATCH_BYTES, and the
+            caller flushes soon afterwards.
         dropped: Lines dropped so far.
         on_dropped: Called by `report_dropped` with the number of lines dropped
             since the last report.
     """
 
     fd: int
+    is_batched: bool = False
     dropped: int = 0
     on_dropped: object = None
     _buffer: bytearray = attrs.field(factory=bytearray)
@@ -43,7 +47,7 @@
         os.set_blocking(self.fd, False)
 
     def put(self, line: str, is_priority: bool) -> None:
-        """Buffers a line and flushes; drops the line if over the budget.
+        """Buffers a line and may flush; drops the line if over the budget.
 
         Args:
             line: Text without a newline.
@@ -63,7 +67,8 @@
         self._lines_left -= 1
         self._bytes_left -= len(data)
         self._buffer += data
-        self.flush()
+        if not self.is_batched or len(self._buffer) > BATCH_BYTES:
+            self.flush()
 
     def _refill(self, now: float) -> None:
         elapsed_s = now - self._refilled_at
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -27,7 +27,8 @@
 # Time without starts for open jobs after this process was suspended: broken
 # links are detected and jobs of dispatchers that do not reconnect are ended.
 PAUSE_RECOVERY_S = 0.5
-RUN_CHECK_INTERVAL_S = 0.01  # interval of the timeout checks of all runs
+CHECK_INTERVAL_S = 0.02  # interval of the timeout checks of all runs and jobs
+EXPIRY_INTERVAL_S = 0.5  # interval of the removal of expired records
 ESTIMATE_MIN_S = 0.005
 SLOWNESS_STEP = 0.2  # servers within one step count as equally fast
 
@@ -101,7 +102,8 @@
     owned_since: float
     runs: zoneruns.Runs = attrs.field(init=False)
     _orders: list[orders_lib.Order] = attrs.field(factory=list)
-    _runs_checked_at: float = -1e9
+    _checked_at: float = -1e9
+    _expired_at: float = -1e9
 
     def __attrs_post_init__(self):
         self.runs = zoneruns.Runs(self.tables, self, self._emit)
@@ -389,12 +391,14 @@
 
     def tick(self, now: float) -> None:
         """Ends overdue jobs and runs, then starts tasks by urgency."""
-        if now - self._runs_checked_at >= RUN_CHECK_INTERVAL_S:
-            self._runs_checked_at = now
+        if now - self._checked_at >= CHECK_INTERVAL_S:
+            self._checked_at = now
             self.runs.check_runs(now)
             self._end_orphaned_jobs(now)
+            self._end_overdue_jobs(now)
+        if now - self._expired_at >= EXPIRY_INTERVAL_S:
+            self._expired_at = now
             self._drop_expired_records(now)
-        self._end_overdue_jobs(now)
         self._start_tasks(now)
 
     def _end_overdue_jobs(self, now: float) -> None:
@@ -430,7 +434,7 @@
         ]
         if not waiting:
             return
-        usable = self._usable_servers(now)
+        usable = self._usable_servers(waiting, now)
         unplaceable = []
         for job in schedule.sort_by_urgency(waiting, now):
             if any(d.excludes(job) for d in unplaceable):
@@ -439,7 +443,7 @@
             for index in list(job.waiting):
                 if job.key(index) in self.tables.live_runs:
                     continue  # an earlier run of the task may be alive
-                server = self._choose_server(job, index, usable)
+                server = self._choose_server(job, index, usable, now)
                 if server is None:
                     if index not in job.avoided_servers:
                         unplaceable.append(
@@ -453,19 +457,29 @@
             if started:
                 self._log_started(job, started, now)
 
-    def _usable_servers(self, now: float) -> list["_UsableServer"]:
-        """Returns the servers that accept new tasks, fastest first."""
+    def _usable_servers(
+        self, waiting: list[zonetables.Job], now: float
+    ) -> list["_UsableServer"]:
+        """Returns the servers that accept new tasks, fastest first.
+
+        Those that are too full for a task of any waiting job are left out.
+        """
+        smallest_cpu = min(j.step.demand.cpu for j in waiting)
         usable = [
             _UsableServer(
                 round(serverhealth.slowness(s, now) / SLOWNESS_STEP), s
             )
             for s in self.tables.servers.values()
-            if serverhealth.is_usable(s, now)
-            and not zoneruns.has_unclaimed_runs(s)
+            if s.free.cpu >= smallest_cpu and self._accepts_tasks(s, now)
         ]
         usable.sort(key=lambda u: u.slowness_steps)
         return usable
 
+    def _accepts_tasks(self, server: zonetables.Server, now: float) -> bool:
+        return serverhealth.is_usable(
+            server, now
+        ) and not zoneruns.has_unclaimed_runs(server)
+
     def _log_started(
         self,
         job: zonetables.Job,
@@ -487,7 +501,11 @@
         )
 
     def _choose_server(
-        self, job: zonetables.Job, index: int, usable: list["_UsableServer"]
+        self,
+        job: zonetables.Job,
+        index: int,
+        usable: list["_UsableServer"],
+        now: float,
     ) -> zonetables.Server | None:
         """Returns the fastest server that the task fits on, else None.
 
@@ -507,8 +525,8 @@
             server = candidate.server
             if server.service != job.queue.service:
                 continue
-            if server.id == avoided_id and any(
-                _may_ever_run(u.server, job) for u in usable if u != candidate
+            if server.id == avoided_id and self._has_alternative(
+                server, job, now
             ):
                 continue  # the task failed or was not started there
             if not step.demand.fits(server.free):
@@ -519,6 +537,17 @@
                 best, best_slowness_steps = server, candidate.slowness_steps
         return best
 
+    def _has_alternative(
+        self, avoided: zonetables.Server, job: zonetables.Job, now: float
+    ) -> bool:
+        """Returns whether another server may run the tasks of a job."""
+        return any(
+            s is not avoided
+            and _may_ever_run(s, job)
+            and self._accepts_tasks(s, now)
+            for s in self.tables.servers.values()
+        )
+
     def _start_run(
         self,
         job: zonetables.Job,
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -13,6 +13,7 @@
 import trio
 
 from acacialine import clock
+from acacialine import errors
 from acacialine import events
 from acacialine import httppool as httppool_lib
 from acacialine import leases
@@ -37,6 +38,9 @@
 POLL_RETRY_MAX_S = 0.8
 FENCED_POLL_RETRY_S = 0.1
 FREE_SLOTS_MAX_AGE_S = 0.05  # heartbeats report a count at most this old
+# Bounds of what a dispatcher may submit; far above what any does.
+MAX_TASKS = 100_000
+MAX_HANDOVERS = 10_000
 # Demand of a task that is assumed until the first job arrives.
 DEFAULT_DEMAND = resources.Resources(cpu=7000)
 
@@ -301,7 +305,8 @@
         if outcome == orders_lib.StartOutcome.FENCED:
             self._handle_fencing(run.server)
         self.placer.runs.handle_start_result(run, outcome, clock.now())
-        self._dispatcher.wake()
+        if outcome != orders_lib.StartOutcome.STARTED:
+            self._dispatcher.wake()
 
     def handle_stop_outcome(self, run: zonetables.Run, confirmed: bool) -> None:
         """See `serverclient.Observer`."""
@@ -359,8 +364,12 @@
         sent_at: float,
     ) -> None:
         """See `serverclient.Observer`."""
-        if not self._is_closed:
-            self.placer.runs.apply_poll(server, result, sent_at, clock.now())
+        if self._is_closed:
+            return
+        was_listed = server.runs_listed
+        version = server.version
+        self.placer.runs.apply_poll(server, result, sent_at, clock.now())
+        if server.version != version or server.runs_listed != was_listed:
             self._dispatcher.wake()
 
     def handle_poll_end(
@@ -388,7 +397,6 @@
                 poller.not_before = now + poller.retry_s
                 poller.retry_s = min(poller.retry_s * 2, POLL_RETRY_MAX_S)
         self._poll_if_due(poller, now)
-        self._dispatcher.wake()
 
     def _record_poll_failure(
         self, server: zonetables.Server, error: Exception
@@ -467,7 +475,25 @@
 def decode_submission(
     message: messages.SubmitJob,
 ) -> placer_lib.Submission:
-    """Returns the submission that a message contains."""
+    """Returns the submission that a message contains.
+
+    Raises:
+        errors.PeerError: A number is out of its range.
+    """
+    numbers = (
+        message.stretch,
+        message.target_latency_s,
+        message.estimate_s,
+        message.age_s,
+    )
+    if not all(0 <= n < math.inf for n in numbers) or not (
+        math.isfinite(message.left_s)
+        and 1 <= message.count <= MAX_TASKS
+        and message.handovers <= MAX_HANDOVERS
+    ):
+        raise errors.PeerError(
+            f"submission of {message.job_id} has a number out of range"
+        )
     queue = zonetables.Queue(
         message.queue,
         message.service,
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -23,6 +23,7 @@
 DEFAULT_DEADLINE_S = 60.0  # if neither the request nor its route sets one
 MAX_DEADLINE_S = 3600.0  # longer deadlines are shortened to this
 MAX_TASKS_PER_STEP = 10000  # far above the largest job, which has 1,600
+MAX_DEMAND = 2**31 - 1  # of each resource of a task
 _UNSUPPORTED_STEP_FIELDS = (
     "after",
     "gang",
@@ -85,7 +86,13 @@
         if len(steps) > 1:
             raise UnsupportedError("jobs with several steps are not supported")
         step = _decode_step(steps[0])
-    except (ValueError, TypeError, AttributeError) as error:
+    except (
+        AttributeError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise MalformedError(str(error)) from error
     return placer.Submission(job_id, route.queue, spec, step, 0.0, left_s)
 
@@ -102,13 +109,16 @@
         int(content.get("memMb", 0)),
         int(content.get("gpu", 0)),
     )
-    if min(demand.cpu, demand.memory_mb, demand.gpu) < 0:
-        raise MalformedError("cpu, memMb and gpu must not be negative")
+    for value in (demand.cpu, demand.memory_mb, demand.gpu):
+        if not 0 <= value <= MAX_DEMAND:
+            raise MalformedError(
+                f"cpu, memMb and gpu must be from 0 to {MAX_DEMAND}"
+            )
+    estimate_s = float(content.get("estimateMs", 0)) / 1000
+    if not 0 <= estimate_s < math.inf:
+        raise MalformedError("estimateMs must not be negative or infinite")
     return zonetables.Step(
-        count,
-        demand,
-        float(content.get("estimateMs", 0)) / 1000,
-        str(content.get("requirements", "")),
+        count, demand, estimate_s, str(content.get("requirements", ""))
     )
 
 
--- a/acacialine/platform/records.py
+++ b/acacialine/platform/records.py
@@ -1,5 +1,8 @@
 """Decodes the records that operators and backend servers write to the store."""
 
+import ipaddress
+import math
+
 import msgspec
 
 from acacialine import resources
@@ -8,6 +11,17 @@
 
 _DEFAULT_MAX_BODY_BYTES = 262144  # the platform's default for maxBodyBytes
 _SERVER_STATES = ("ready", "draining")
+_MAX_INT = 2**31 - 1
+_MAX_VERSION = 2**63 - 1
+_MAX_PORT = 65535
+# What decoding raises on JSON of another form than expected.
+_DECODE_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+)
 
 
 def decode_configuration(data: bytes) -> routes.Configuration:
@@ -16,35 +30,34 @@
     Raises:
         ValueError: The data is not a configuration.
     """
-    content = msgspec.json.decode(data)
     try:
+        content = msgspec.json.decode(data)
         decoded_routes = [_decode_route(r) for r in content["routes"]]
         limits = content.get("limits") or {}
-        max_body_bytes = int(
-            limits.get("maxBodyBytes", _DEFAULT_MAX_BODY_BYTES)
+        return routes.new_configuration(
+            _to_int(content["version"], 0, _MAX_VERSION),
+            data,
+            _to_int(limits.get("maxBodyBytes", _DEFAULT_MAX_BODY_BYTES)),
+            decoded_routes,
         )
-        version = int(content["version"])
-    except (KeyError, TypeError, AttributeError) as error:
+    except _DECODE_ERRORS as error:
         raise ValueError(f"not a configuration: {error!r}") from error
-    return routes.new_configuration(
-        version, data, max_body_bytes, decoded_routes
-    )
 
 
 def _decode_route(content: dict) -> routes.Route:
     queue = zonetables.Queue(
-        content["name"],
-        content["service"],
-        int(content.get("priority", 0)),
-        int(content.get("maxAttempts", 1)),
-        float(content.get("stretch", 1.0)),
-        float(content.get("targetLatencyMs", 0)) / 1000,
+        _check_string(content["name"]),
+        _check_string(content["service"]),
+        _to_int(content.get("priority", 0), -_MAX_INT, _MAX_INT),
+        _to_int(content.get("maxAttempts", 1), 0, _MAX_INT),
+        _to_float(content.get("stretch", 1.0)),
+        _to_float(content.get("targetLatencyMs", 0)) / 1000,
     )
     return routes.Route(
         queue,
-        content["host"].lower(),
-        content["pathPrefix"],
-        float(content.get("timeoutMs", 0)) / 1000,
+        _check_string(content["host"]).lower(),
+        _check_string(content["pathPrefix"]),
+        _to_float(content.get("timeoutMs", 0)) / 1000,
     )
 
 
@@ -59,12 +72,13 @@
     Raises:
         ValueError: The data does not describe a usable backend server.
     """
-    content = msgspec.json.decode(data)
     try:
+        content = msgspec.json.decode(data)
         state = content["state"]
         if state not in _SERVER_STATES:
             raise ValueError(f"unknown state {state!r}")
-        host, _, port = content["address"].rpartition(":")
+        host, _, port = _check_string(content["address"]).rpartition(":")
+        ipaddress.ip_address(host)
         declared = content["capacity"]
         capacity = resources.Resources(
             _to_int(declared.get("cpu", 0)),
@@ -77,7 +91,7 @@
         cold_s = _to_int(content.get("coldRemainingMs", 0)) / 1000
         return zonetables.Server(
             server_id,
-            (host, int(port)),
+            (host, _to_int(int(port), 1, _MAX_PORT)),
             _check_string(content["zone"]),
             _check_string(content["service"]),
             capacity,
@@ -86,15 +100,28 @@
             cold_until=now + cold_s if cold_s > 0 else 0.0,
             announced_incarnation=_to_int(content.get("born", 0)),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except _DECODE_ERRORS as error:
         raise ValueError(f"not a backend server: {error!r}") from error
 
 
-def _to_int(value) -> int:
-    """Converts a JSON number to an integer; drops its fraction."""
+def _to_int(value, minimum: int = 0, maximum: int = 2**63 - 1) -> int:
+    """Converts a JSON number to an integer in a range; drops its fraction."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"not a number: {value!r}")
+    number = int(value)
+    if not minimum <= number <= maximum:
+        raise ValueError(f"not from {minimum} to {maximum}: {number}")
+    return number
+
+
+def _to_float(value) -> float:
+    """Converts a JSON number that must not be negative or infinite."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"not a number: {value!r}")
-    return int(value)
+    number = float(value)
+    if not 0 <= number < math.inf:
+        raise ValueError(f"negative or infinite: {number}")
+    return number
 
 
 def _check_string(value) -> str:
--- a/acacialine/platform/store.py
+++ b/acacialine/platform/store.py
@@ -7,6 +7,7 @@
 import base64
 import collections.abc
 import struct
+import urllib.parse
 
 import attrs
 import msgspec
@@ -50,6 +51,21 @@
     next_offset: int
 
 
+class _LatestItem(msgspec.Struct):
+    """One item of a response to log-newest, as the platform names it."""
+
+    key: str
+    value: str = ""
+
+
+class _LatestPage(msgspec.Struct):
+    """A response to log-newest."""
+
+    items: list[_LatestItem] = []
+    hasMore: bool = False  # noqa: N815
+    endOffset: int = 0  # noqa: N815
+
+
 @attrs.frozen
 class Page:
     """Consecutive records of a topic.
@@ -105,22 +121,24 @@
         while True:
             target = f"/acacialine/log-newest?topic={topic}&part=0"
             if last_key:
-                target += f"&after={last_key}"
+                target += f"&after={urllib.parse.quote(last_key, safe='')}"
             body = await self._call("GET", target, b"", CALL_TIMEOUT_S)
             try:
-                content = msgspec.json.decode(body)
-                for item in content.get("items", ()):
-                    value = base64.b64decode(item.get("value", ""))
-                    records.append(KeyedRecord(item["key"], value))
-                # Records may be appended between two pages, so the end offset
-                # of the first page is the one that misses none.
-                if next_offset is None:
-                    next_offset = int(content.get("endOffset", 0))
-            except (ValueError, KeyError, TypeError) as error:
+                content = msgspec.json.decode(body, type=_LatestPage)
+                page = [
+                    KeyedRecord(i.key, base64.b64decode(i.value))
+                    for i in content.items
+                ]
+            except (ValueError, RecursionError) as error:
                 raise errors.PlatformError(
                     f"malformed response: {error}"
                 ) from error
-            if not content.get("hasMore") or not records:
+            records += page
+            # Records may be appended between two pages, so the end offset of
+            # the first page is the one that misses none.
+            if next_offset is None:
+                next_offset = content.endOffset
+            if not content.hasMore or not page:
                 return LatestRecords(records, next_offset)
             last_key = records[-1].key
 
--- a/acacialine/prometheusmetrics.py
+++ b/acacialine/prometheusmetrics.py
@@ -3,6 +3,7 @@
 import prometheus_client
 from prometheus_client import exposition
 
+from acacialine import events
 from acacialine import httpserver
 
 # Upper bounds from below a task of 50 ms to beyond a client's timeout.
@@ -14,6 +15,7 @@
 
     def __init__(self):
         self.registry = prometheus_client.CollectorRegistry()
+        self._event_counters: dict[events.Event, prometheus_client.Counter] = {}
         self.answers = self._counter(
             "acacialine_answers", "Answers to callers.", ("queue", "status")
         )
@@ -58,6 +60,14 @@
             "acacialine_jobs_open", "Jobs at this placer.", ()
         )
 
+    def count_event(self, event: events.Event) -> None:
+        """Counts a numbered event."""
+        counter = self._event_counters.get(event)
+        if counter is None:
+            counter = self.events.labels(event.name.lower())
+            self._event_counters[event] = counter
+        counter.inc()
+
     def _counter(self, name: str, help_text: str, labels: tuple):
         return prometheus_client.Counter(
             name, help_text, labels, registry=self.registry
--- a/acacialine/schedule.py
+++ b/acacialine/schedule.py
@@ -47,8 +47,7 @@
 
 def expected_end(run: zonetables.Run, now: float) -> float:
     """Returns when a run is expected to end."""
-    started_at = run.confirmed_at or run.sent_at
-    end = started_at + run.expected_s
+    end = _undelayed_end(run)
     if end > now:
         return end
     return now + run.expected_s * OVERDUE_REMAINING_SHARE
@@ -73,20 +72,62 @@
             continue
         if label and label not in server.labels:
             continue
-        count = count_slots(server.capacity, demand)
-        free_count = min(count, count_slots(server.free, demand))
+        slots = server.slot_cache
+        if (
+            slots is None
+            or slots.version != server.version
+            or slots.demand != demand
+        ):
+            slots = server.slot_cache = _compute_slots(server, demand)
         available_at = max(now, server.avoid_until)
-        free_times.extend([available_at] * free_count)
-        if free_count < count:
-            ends = sorted(
-                expected_end(run, now) for run in server.runs.values()
-            )
-            free_times.extend(
-                max(available_at, end) for end in ends[: count - free_count]
-            )
+        if slots.free_count:
+            free_times.extend([available_at] * slots.free_count)
+        if slots.busy_count:
+            ends = slots.ends
+            if ends and ends[0] <= now:
+                # Overdue runs end later than expected.
+                ends = sorted(
+                    expected_end(run, now) for run in server.runs.values()
+                )
+            for end in ends[: slots.busy_count]:
+                free_times.append(end if end > available_at else available_at)
     return free_times
 
 
+@attrs.frozen
+class _Slots:
+    """Slots of one backend server for tasks of one demand.
+
+    Attributes:
+        version: Version of the server for which they were computed.
+        free_count: Number of free slots.
+        busy_count: Number of slots that become free at the end of runs.
+        ends: Expected ends of the runs, earliest first, if none is overdue.
+    """
+
+    version: int
+    demand: resources_lib.Resources
+    free_count: int
+    busy_count: int
+    ends: list[float]
+
+
+def _compute_slots(
+    server: zonetables.Server, demand: resources_lib.Resources
+) -> _Slots:
+    count = count_slots(server.capacity, demand)
+    free_count = min(count, count_slots(server.free, demand))
+    ends = []
+    if free_count < count:
+        ends = sorted(map(_undelayed_end, server.runs.values()))
+    return _Slots(server.version, demand, free_count, count - free_count, ends)
+
+
+def _undelayed_end(run: zonetables.Run) -> float:
+    """Returns when a run is expected to end if it is not overdue."""
+    return (run.confirmed_at or run.sent_at) + run.expected_s
+
+
 def count_slots(
     capacity: resources_lib.Resources, demand: resources_lib.Resources
 ) -> int:
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -366,7 +366,8 @@
         now = clock.now()
         for record in keyed_records:
             try:
-                self.directory.apply(record.key, record.value, now)
+                if self.directory.apply(record.key, record.value, now):
+                    self._dispatcher.link_manager.request_update()
             except ValueError as error:
                 self._log_ignored_record(
                     store_lib.ENTRIES_TOPIC, record.key, error
--- a/acacialine/zoneadmission.py
+++ b/acacialine/zoneadmission.py
@@ -35,18 +35,21 @@
     ) -> "Decision":
         """Returns whether a job is accepted, with the forecast for it."""
         step = job.step
-        suitable = [
-            s
-            for s in self.tables.servers.values()
-            if s.is_in_store
-            and s.service == job.queue.service
-            and step.demand.fits(s.capacity)
-            and (not step.label or step.label in s.labels)
-        ]
+        is_servable = False
+        are_runs_listed = True
+        for server in self.tables.servers.values():
+            if (
+                server.is_in_store
+                and server.service == job.queue.service
+                and step.demand.fits(server.capacity)
+                and (not step.label or step.label in server.labels)
+            ):
+                is_servable = True
+                are_runs_listed = are_runs_listed and server.runs_listed
         forecast = schedule.new_forecast(self.tables, job, now)
-        if not suitable:
+        if not is_servable:
             return Decision("unservable", forecast)
-        if not all(s.runs_listed for s in suitable):
+        if not are_runs_listed:
             # Free capacity is unknown right after a takeover.
             return Decision("", forecast)
         if job.deadline_at - now < job.estimate_s:
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -97,6 +97,7 @@
             return
         run.job = job
         run.expected_s = job.estimate_s
+        server.unclaimed_runs -= run.is_unclaimed
         run.demand = job.step.demand
         server.occupy(run.demand)
         job.runs[index] = run
@@ -131,7 +132,8 @@
         match outcome:
             case orders_lib.StartOutcome.STARTED:
                 serverhealth.record_response(server)
-                run.confirmed_at = run.progress_at = now
+                run.confirm(now)
+                run.progress_at = now
                 if run.state == zonetables.RunState.STARTING:
                     run.state = zonetables.RunState.RUNNING
                 elif run.state == zonetables.RunState.DOUBTFUL:
@@ -282,7 +284,7 @@
                 self._add_unclaimed_run(server, row, polled_at, now)
                 continue
             if run.confirmed_at is None:
-                run.confirmed_at = now
+                run.confirm(now)
             run.seen_at = now
             if row.percent > run.percent or not run.progress_at:
                 run.progress_at = now
@@ -508,10 +510,7 @@
 
 def has_unclaimed_runs(server: zonetables.Server) -> bool:
     """Returns whether a server has unclaimed runs, whose demand is unknown."""
-    return any(
-        run.demand is zonetables.resources_lib.NO_RESOURCES
-        for run in server.runs.values()
-    )
+    return server.unclaimed_runs > 0
 
 
 def _has_ended(run: zonetables.Run, polled_at: float) -> bool:
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -141,6 +141,16 @@
         """Key of the run among the runs of its backend server."""
         return self.key, self.number
 
+    @property
+    def is_unclaimed(self) -> bool:
+        """Whether its demand is unknown, as no job has adopted it."""
+        return self.demand is resources_lib.NO_RESOURCES
+
+    def confirm(self, now: float) -> None:
+        """Records that the start was confirmed."""
+        self.confirmed_at = now
+        self.server.version += 1
+
 
 @attrs.define(eq=False)
 class Server:
@@ -169,6 +179,9 @@
         server_clock_ms: Its monotonic clock in its last poll response.
         clock_at: When that response arrived.
         lease_until: When the leases of all its runs have certainly expired.
+        unclaimed_runs: Number of runs whose demand is unknown.
+        version: Increases when its capacity or a run changes.
+        slot_cache: Slots computed for one version; see `schedule`.
     """
 
     id: str
@@ -196,6 +209,9 @@
     server_clock_ms: int = 0
     clock_at: float = 0.0
     lease_until: float = 0.0
+    unclaimed_runs: int = 0
+    version: int = 0
+    slot_cache: object = None
 
     def __attrs_post_init__(self):
         self.free = self.capacity - self.used
@@ -204,16 +220,20 @@
         """Takes a demand from the free capacity."""
         self.used = self.used + demand
         self.free = self.capacity - self.used
+        self.version += 1
 
     def release(self, demand: resources_lib.Resources) -> None:
         """Returns a demand to the free capacity."""
         self.used = self.used - demand
         self.free = self.capacity - self.used
+        self.version += 1
 
     def resize(self, capacity: resources_lib.Resources) -> None:
         """Replaces the capacity."""
-        self.capacity = capacity
-        self.free = self.capacity - self.used
+        if capacity != self.capacity:
+            self.capacity = capacity
+            self.free = self.capacity - self.used
+            self.version += 1
 
 
 @attrs.define(eq=False)
@@ -345,6 +365,7 @@
         server = run.server
         server.runs[run.id] = run
         server.occupy(run.demand)
+        server.unclaimed_runs += run.is_unclaimed
         self.live_runs[run.key] += 1
 
     def remove_run(self, run: Run, now: float) -> None:
@@ -353,6 +374,7 @@
         if server.runs.pop(run.id, None) is None:
             return
         server.release(run.demand)
+        server.unclaimed_runs -= run.is_unclaimed
         server.recently_ended.pop(run.id, None)
         server.recently_ended[run.id] = now
         self.live_runs[run.key] -= 1
