A failing write on a control link ends neither the entry nor the message

Causes: an error of a write left the link's nursery as an exception group, which `run` did not catch, so one failed write ended the whole process (seen by the new test); the message whose write failed was lost. Change: the link connects again and sends that message first; a grant that arrives twice is used once. Tests: test_links, test_membership.

--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -226,6 +226,9 @@
 class ControlLink:
     """Sends one-way messages to one peer, reconnecting as needed.
 
+    A message whose write fails is sent again on the next link, so the peer may
+    get it twice.
+
     Attributes:
         on_unreachable: Called with the peer's incarnation when no link can
             be made or another process has its address.
@@ -241,6 +244,8 @@
     _send_channel: trio.MemorySendChannel = attrs.field(init=False)
     _receive_channel: trio.MemoryReceiveChannel = attrs.field(init=False)
     dropped: int = 0
+    # The message whose write has not ended; the next link sends it again.
+    _unsent: messages.Message | None = None
 
     def __attrs_post_init__(self):
         self._send_channel, self._receive_channel = trio.open_memory_channel(
@@ -288,18 +293,32 @@
         """Sends queued messages until the queue or the link is closed.
 
         Returns:
-            True once the queue is closed, False if the peer closed the link.
+            True once the queue is closed, False if the link has ended.
         """
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_closed, link, nursery.cancel_scope)
-            async for message in self._receive_channel:
-                data = codec.encode(codec.Frame(0, message))
-                with trio.fail_after(WRITE_TIMEOUT_S):
-                    await link.send_frame(data)
-                self.on_sent(len(data) + LENGTH_BYTES)
-            nursery.cancel_scope.cancel()
-            return True
-        return False
+        is_done = False
+        try:
+            async with trio.open_nursery() as nursery:
+                scope = nursery.cancel_scope
+                nursery.start_soon(_cancel_when_closed, link, scope)
+                await self._send_until_closed(link)
+                is_done = True
+                scope.cancel()
+        except* _LINK_ERRORS:
+            pass  # `run` connects again
+        return is_done
+
+    async def _send_until_closed(self, link: FramedStream) -> None:
+        while True:
+            if self._unsent is None:
+                try:
+                    self._unsent = await self._receive_channel.receive()
+                except trio.EndOfChannel:
+                    return
+            data = codec.encode(codec.Frame(0, self._unsent))
+            with trio.fail_after(WRITE_TIMEOUT_S):
+                await link.send_frame(data)
+            self._unsent = None
+            self.on_sent(len(data) + LENGTH_BYTES)
 
 
 async def _cancel_when_closed(
--- a/acacialine/slotrequests.py
+++ b/acacialine/slotrequests.py
@@ -306,7 +306,9 @@
     peer.load.free = message.free
     floor_rank = queues.absolute_rank(tables, message.floor_rank, now)
     for entry in message.entries:
-        peer.received_grant_seq = max(peer.received_grant_seq, entry.seq)
+        if entry.seq <= peer.received_grant_seq:
+            continue  # sent twice; the first copy may have been used
+        peer.received_grant_seq = entry.seq
         group = tables.group(entry.team, entry.kind, entry.is_long)
         requested = peer.requested_slots.get(group)
         if requested and requested.count > 1:
--- a/acacialine/tests/test_links.py
+++ b/acacialine/tests/test_links.py
@@ -5,6 +5,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes
@@ -138,6 +139,41 @@
         self.assertFalse(self._call(server, self._identity(CLIENT, ("k1",))))
         self.assertEqual(self.received, [])
 
+    def test_a_message_whose_write_fails_is_sent_again(self):
+        original = links.FramedStream.send_frame
+        failures = []
+
+        async def send_frame(link, data):
+            # The frames of the handshake are shorter than this.
+            if len(data) > 300 and not failures:
+                failures.append(data)
+                raise trio.BrokenResourceError("reset")
+            await original(link, data)
+
+        async def run_client(address):
+            link = links.ControlLink(
+                self._identity(CLIENT, ("k",)),
+                str(SERVER),
+                address,
+                lambda peer_id: None,
+                lambda size: None,
+            )
+            first = messages.ConfigReply(1, b"x" * 400)
+            second = messages.ConfigReply(2, b"")
+            link.post(first)
+            link.post(second)
+            link.close()
+            with trio.fail_after(5):
+                await link.run()
+                while len(self.received) < 2:
+                    await trio.sleep(0.01)
+            self.assertEqual([m for _, m in self.received], [first, second])
+
+        with mock.patch.object(links.FramedStream, "send_frame", send_frame):
+            server = self._identity(SERVER, ("k",))
+            support.run(self._run_with_server, server, run_client)
+        self.assertEqual(len(failures), 1)
+
     def test_call_over_tls(self):
         with tempfile.TemporaryDirectory() as directory:
             tls = write_certificate(pathlib.Path(directory), "good", 30)
--- a/acacialine/tests/test_membership.py
+++ b/acacialine/tests/test_membership.py
@@ -82,5 +82,18 @@
         self.assertGreater(backend.grantable_at, 5.0)
 
 
+class GrantsTest(unittest.TestCase):
+    def test_a_grant_that_arrives_twice_is_used_once(self):
+        # A broker sends a message again if its write failed.
+        core = support.new_core()
+        tables = core.tables
+        core.receive(str(OLD), support.new_heartbeat(OLD), 0.0)
+        entry = messages.GrantEntry(1, "b1", "alpha", "quick", False, 1000)
+        message = messages.GrantMessage(str(OLD), 0.0, 0, 0, [entry])
+        for _ in range(2):
+            core.receive(str(OLD), message, 0.1)
+        self.assertEqual(len(tables.ready_grants), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
