A silent dispatcher's work goes on for a while; no starts on an old list

Change: jobs of a silent dispatcher run on for 0.6 s without new starts, which ends before a dispatcher that is cut off moves them to another zone; after a takeover with a list older than two reads nothing starts until it is read, at most 1 s, or while the store is down.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -600,9 +600,7 @@
 
     def _on_session_closed(self, session: peering.AcceptedLink) -> None:
         if self.placer_host is not None:
-            self.placer_host.remove_origin(
-                session.outbox, not session.is_silent
-            )
+            self.placer_host.remove_origin(session.outbox, session.is_silent)
         self.wake()
 
     def _on_link_opened(self, link: peering.PeerLink) -> None:
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -34,6 +34,8 @@
 # Longest wait of a poll for the end of a run, as a share of the lease that the
 # next poll renews.
 LOOK_WAIT_MAX_SHARE = 0.4
+# Longest wait after a takeover for the list of servers if the known one is old.
+LIST_WAIT_S = 1.0
 POLL_RETRY_S = 0.1
 POLL_RETRY_MAX_S = 0.8
 FENCED_POLL_RETRY_S = 0.1
@@ -124,12 +126,9 @@
         """Records that another zone keeps running a job."""
         self.placer.record_remote_job(job_id, zone, clock.now())
 
-    def remove_origin(self, origin, may_return: bool) -> None:
-        """Removes a dispatcher whose link has closed from all jobs.
-
-        If it may return, its jobs keep running for a moment.
-        """
-        self.placer.remove_origin(origin, may_return, clock.now())
+    def remove_origin(self, origin, is_silent: bool) -> None:
+        """Removes a dispatcher whose link has ended from all jobs."""
+        self.placer.remove_origin(origin, is_silent, clock.now())
 
     def count_pending_jobs(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started."""
@@ -227,6 +226,8 @@
         """Records that the list of servers was read by a request sent then."""
         if sent_at >= self.placer.owned_since:
             self.placer.runs.is_list_current = True
+            self.placer.runs.awaits_list = False
+            self._dispatcher.wake()
 
     def _add_poller(self, server: zonetables.Server) -> ServerPoller:
         settings = self._dispatcher.settings.placement
@@ -248,6 +249,11 @@
 
     def tick(self, now: float) -> None:
         """Runs a tick of the placer and executes its orders."""
+        if self.placer.runs.awaits_list and (
+            self._dispatcher.store_reader.is_store_down
+            or now - self.placer.owned_since > LIST_WAIT_S
+        ):
+            self.placer.runs.awaits_list = False
         self._deadlines.check(now)
         while self._due_pollers and self._due_pollers[0][0] <= now:
             due_at, _, poller = heapq.heappop(self._due_pollers)
@@ -435,6 +441,10 @@
         dispatcher.zone, settings.late_share, now, lease_times
     )
     placer.runs.is_list_current = False
+    placer.runs.awaits_list = (
+        now - dispatcher.store_reader.servers_read_at
+        > dispatcher.store_reader.removal_delay_s
+    )
     placer.runs.unknown_before = (
         dispatcher.store_reader.server_removed_at
         + dispatcher.store_reader.removal_delay_s
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -39,6 +39,9 @@
     Attributes:
         configuration: The configuration in force; its version only increases.
         directory: Records of all dispatchers.
+        is_store_down: Whether the last call to the store failed.
+        servers_read_at: When the list of backend servers was last requested
+            and then read.
         server_removed_at: When a backend server was last removed from the
             list, or the list was first read.
     """
@@ -48,6 +51,8 @@
     directory: directory_lib.Directory = attrs.field(
         factory=directory_lib.Directory
     )
+    is_store_down: bool = False
+    servers_read_at: float = -1e9
     server_removed_at: float = -1e9
     _servers: dict[str, zonetables.Server] = attrs.field(factory=dict)
     _pending_removals: dict[str, float] = attrs.field(factory=dict)
@@ -57,7 +62,6 @@
     _directory_store: store_lib.Store = attrs.field(init=False)
     _write_requested: trio.Event = attrs.field(factory=trio.Event)
     _servers_requested: trio.Event = attrs.field(factory=trio.Event)
-    _is_store_down: bool = False
 
     def __attrs_post_init__(self):
         self.set_store_address(self._dispatcher.settings.store.address)
@@ -124,8 +128,8 @@
 
     def _note_store_failure(self, reader, error: errors.PlatformError) -> None:
         """Logs the first failure of an outage, with the name of the reader."""
-        if not self._is_store_down:
-            self._is_store_down = True
+        if not self.is_store_down:
+            self.is_store_down = True
             self._dispatcher.log(
                 events.Event.STORE_LOST,
                 reader=reader.__name__.removeprefix("_read_"),
@@ -134,8 +138,8 @@
 
     def _note_store_success(self) -> None:
         self._dispatcher.ownership.last_contact_at = clock.now()
-        if self._is_store_down:
-            self._is_store_down = False
+        if self.is_store_down:
+            self.is_store_down = False
             self._recovered_at = clock.now()
             self._dispatcher.log(events.Event.STORE_REGAINED)
 
@@ -215,6 +219,7 @@
         self._replace_servers(latest.records)
         while True:
             self._note_store_success()
+            self.servers_read_at = sent_at
             if self._dispatcher.placer_host is not None:
                 self._dispatcher.placer_host.record_list_read(sent_at)
             await self._await_candidacy()
@@ -239,7 +244,9 @@
         dispatcher is as old as its last candidacy.
         """
         while not self._dispatcher.link_manager.is_senior:
-            await trio.sleep(CANDIDACY_CHECK_INTERVAL_S)
+            with trio.move_on_after(CANDIDACY_CHECK_INTERVAL_S):
+                await self._servers_requested.wait()
+                return
 
     def _replace_servers(
         self, keyed_records: list[store_lib.KeyedRecord]
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -104,7 +104,7 @@
         link.generation += 1
         link.down_until = self.now + self.random.uniform(0.05, 0.6)
         if owner is not None and not owner.is_closed:
-            owner.placer.remove_origin(session, True, self.now)
+            owner.placer.remove_origin(session, False, self.now)
 
     # Placers
 
@@ -153,7 +153,7 @@
                     self.at(
                         self.now + 1.0,
                         lambda at, s=link.session: former.placer.remove_origin(
-                            s, False, at
+                            s, True, at
                         ),
                     )
         zone.owner = None
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -128,7 +128,7 @@
         placer.handle_process_pause(3.0)
         new_orders = self.poll(placer, runs[0].server, 3.01)
         self.assertEqual(build.starts(new_orders), [])
-        placer.remove_origin("dispatcher", True, 3.05)
+        placer.remove_origin("dispatcher", False, 3.05)
         for now in (3.1, 3.3, 3.4, 3.6, 4.0):
             new_orders = self.poll(placer, runs[0].server, now)
             self.assertEqual(build.starts(new_orders), [])
@@ -214,10 +214,36 @@
         placer = build.placer()
         runs = build.starts(self.submit(placer))
         self.confirm(placer, runs)
-        placer.remove_origin("dispatcher", False, 0.1)
+        placer.remove_origin("dispatcher", True, 0.1)
+        self.assertEqual(build.stops(placer.take_orders()), [])
+        placer.tick(0.75)
         self.assertEqual(build.stops(placer.take_orders()), runs)
         self.assertEqual(runs[0].server.used.cpu, 14000)
 
+    def test_runs_of_a_silent_dispatcher_continue_if_it_returns(self):
+        # It was only slow or paused. Its job starts nothing meanwhile.
+        placer = build.placer()
+        runs = build.starts(self.submit(placer, step=build.step(3)))
+        self.confirm(placer, runs)
+        placer.remove_origin("dispatcher", True, 0.1)
+        ended = [self.done_row(1, runs[0])]
+        running = [orders.RunningRow(runs[1].key, 1, 50)]
+        new_orders = self.poll(placer, runs[0].server, 0.2, running, ended)
+        self.assertEqual(build.starts(new_orders) + build.stops(new_orders), [])
+        new_orders = self.submit(placer, 0.6, step=build.step(3), handovers=1)
+        self.assertEqual(build.stops(new_orders), [])
+        self.assertEqual([r.key.index for r in build.starts(new_orders)], [2])
+
+    def test_no_task_starts_on_an_old_list_of_servers(self):
+        # Servers may have left since the list was read, and a server that
+        # drains must get no task.
+        placer = build.placer()
+        placer.runs.awaits_list = True
+        self.assertEqual(build.starts(self.submit(placer)), [])
+        placer.runs.awaits_list = False
+        placer.tick(0.03)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
     def test_a_job_resubmitted_after_a_broken_link_continues(self):
         # Seen in cut-and-shut (ticketworks) and hunt (baekdu): after a link
         # reset the job was resubmitted, and its tasks started beside runs
@@ -225,7 +251,7 @@
         placer = build.placer()
         runs = build.starts(self.submit(placer))
         self.confirm(placer, runs)
-        placer.remove_origin("dispatcher", True, 0.1)
+        placer.remove_origin("dispatcher", False, 0.1)
         self.assertEqual(build.stops(placer.take_orders()), [])
         new_orders = self.submit(placer, 0.12, handovers=1)
         self.assertEqual(build.starts(new_orders) + build.stops(new_orders), [])
@@ -236,7 +262,7 @@
         placer = build.placer()
         runs = build.starts(self.submit(placer))
         self.confirm(placer, runs)
-        placer.remove_origin("dispatcher", True, 0.1)
+        placer.remove_origin("dispatcher", False, 0.1)
         placer.tick(0.45)
         self.assertEqual(set(build.stops(placer.take_orders())), set(runs))
         self.assertEqual(placer.tables.jobs, {})
@@ -245,7 +271,7 @@
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         runs = build.starts(self.submit(placer))
         self.confirm(placer, runs)
-        placer.remove_origin("dispatcher", False, 0.1)
+        placer.cancel("00000000000000aa", "dispatcher", "caller left", 0.1)
         retried = self.submit(placer, 0.11, handovers=1)
         self.assertEqual(build.starts(retried), [])
         for run in runs:
@@ -257,7 +283,7 @@
         placer = build.placer()
         runs = build.starts(self.submit(placer))
         self.confirm(placer, runs)
-        placer.remove_origin("dispatcher", False, 0.1)
+        placer.cancel("00000000000000aa", "dispatcher", "caller left", 0.1)
         for run in runs:
             placer.runs.handle_stop_result(run, True, 0.11)
         self.poll(placer, runs[0].server, 0.3, polled_at=0.25)
--- a/acacialine/tests/test_placer_properties.py
+++ b/acacialine/tests/test_placer_properties.py
@@ -84,8 +84,8 @@
         owner = self.owners[-1]
         # Answers given before the break are sent before it, not after.
         owner.tick(self.now)
-        may_return = self.random.random() < 0.5
-        owner.placer.remove_origin("dispatcher", may_return, self.now)
+        is_silent = self.random.random() < 0.5
+        owner.placer.remove_origin("dispatcher", is_silent, self.now)
         self.hand_over(owner, owner)
 
     def take_over(self):
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -54,6 +54,8 @@
         is_list_current: Whether the list of servers was read from the store
             since this placer became the owner. An older list may lack a server
             on which the earlier owner has started runs.
+        awaits_list: Whether no task starts until the list is read, as the one
+            at the takeover is so old that servers may have left since.
         unknown_before: Jobs that arrived before may have runs on a server that
             has left the list or obeys another owner.
     """
@@ -63,6 +65,7 @@
     emit: collections.abc.Callable[[orders_lib.Order], None]
     lease_times: leases.LeaseTimes = attrs.field(factory=leases.LeaseTimes)
     is_list_current: bool = True
+    awaits_list: bool = False
     unknown_before: float = -1e9
 
     @property
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -261,7 +261,8 @@
             by index.
         possible_starts: Number of orders that may have started a task. A job
             with any can no longer be refused as not run.
-        orphaned_at: When its last origin was lost.
+        orphaned_until: When it ends unless an origin returns.
+        is_paused: Whether it starts no task until an origin returns.
         kept_until: Until when it may run past its deadline.
     """
 
@@ -284,7 +285,8 @@
     avoided_servers: dict[int, str] = attrs.field(factory=dict)
     possible_starts: int = 0
     first_start_at: float | None = None
-    orphaned_at: float = 0.0
+    orphaned_until: float = 0.0
+    is_paused: bool = False
     kept_until: float = 0.0
 
     def key(self, index: int) -> TaskKey:
