--- a/acacialine/eventlog.py
+++ b/acacialine/eventlog.py
@@ -38,6 +38,7 @@
         events.Event.STORE_RECORD_IGNORED,
         events.Event.ROUTES_IN_FORCE,
         events.Event.PEER_DISCONNECTED,
+        events.Event.PEER_REJECTED,
         events.Event.LOG_DROPPED,
         events.Event.LOOP_PAUSED,
         events.Event.UNEXPECTED_ERROR,
--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -196,6 +196,8 @@
     server_nonce = secrets.token_bytes(keys.NONCE_BYTES)
     await link.send_frame(server_nonce)
     hello = await link.receive_frame(MAX_HANDSHAKE_BYTES)
+    if not hello:
+        raise trio.BrokenResourceError("closed during the handshake")
     proof_end = keys.NONCE_BYTES + keys.PROOF_BYTES
     client_nonce = hello[: keys.NONCE_BYTES]
     received_proof = hello[keys.NONCE_BYTES : proof_end]
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -195,14 +195,15 @@
     Attributes:
         outbox: Sends messages to the peer.
         heard_at: Time of the last message.
-        heartbeat_gap_s: Time between the last two heartbeats.
+        heartbeat_gap_s: Time between the last two heartbeats; the longest
+            interval until two have arrived.
         is_silent: Whether the link ended because no message arrived.
     """
 
     peer_id: str
     outbox: LinkSocket
     heard_at: float
-    heartbeat_gap_s: float = 0.0
+    heartbeat_gap_s: float = IDLE_HEARTBEAT_INTERVAL_S
     is_silent: bool = False
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _heartbeat_at: float = 0.0
