Bounds of all numbers that clients, peers and the store may send

Cause, found by test_fuzz in a run of the whole suite: finite but huge estimates and stretches multiply to infinity and raise in a log line of the placer.

--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -43,6 +43,7 @@
 # Bounds of what a dispatcher may submit; far above what any does.
 MAX_TASKS = 100_000
 MAX_HANDOVERS = 10_000
+MAX_NUMBER = 1e9  # of a time in s or a factor
 # Demand of a task that is assumed until the first job arrives.
 DEFAULT_DEMAND = resources.Resources(cpu=7000)
 
@@ -496,8 +497,8 @@
         message.estimate_s,
         message.age_s,
     )
-    if not all(0 <= n < math.inf for n in numbers) or not (
-        math.isfinite(message.left_s)
+    if not all(0 <= n <= MAX_NUMBER for n in numbers) or not (
+        abs(message.left_s) <= MAX_NUMBER
         and 1 <= message.count <= MAX_TASKS
         and message.handovers <= MAX_HANDOVERS
     ):
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -24,6 +24,7 @@
 MAX_DEADLINE_S = 3600.0  # longer deadlines are shortened to this
 MAX_TASKS_PER_STEP = 10000  # far above the largest job, which has 1,600
 MAX_DEMAND = 2**31 - 1  # of each resource of a task
+MAX_ESTIMATE_S = 1e6
 _UNSUPPORTED_STEP_FIELDS = (
     "after",
     "gang",
@@ -115,8 +116,10 @@
                 f"cpu, memMb and gpu must be from 0 to {MAX_DEMAND}"
             )
     estimate_s = float(content.get("estimateMs", 0)) / 1000
-    if not 0 <= estimate_s < math.inf:
-        raise MalformedError("estimateMs must not be negative or infinite")
+    if not 0 <= estimate_s <= MAX_ESTIMATE_S:
+        raise MalformedError(
+            f"estimateMs must be from 0 to {MAX_ESTIMATE_S * 1000:.0f}"
+        )
     return zonetables.Step(
         count, demand, estimate_s, str(content.get("requirements", ""))
     )
--- a/acacialine/platform/records.py
+++ b/acacialine/platform/records.py
@@ -1,7 +1,6 @@
 """Decodes the records that operators and backend servers write to the store."""
 
 import ipaddress
-import math
 
 import msgspec
 
@@ -14,6 +13,7 @@
 _MAX_INT = 2**31 - 1
 _MAX_VERSION = 2**63 - 1
 _MAX_PORT = 65535
+_MAX_FLOAT = 1e9  # of a time in ms or a factor
 # What decoding raises on JSON of another form than expected.
 _DECODE_ERRORS = (
     AttributeError,
@@ -115,12 +115,12 @@
 
 
 def _to_float(value) -> float:
-    """Converts a JSON number that must not be negative or infinite."""
+    """Converts a JSON number from 0 to _MAX_FLOAT."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"not a number: {value!r}")
     number = float(value)
-    if not 0 <= number < math.inf:
-        raise ValueError(f"negative or infinite: {number}")
+    if not 0 <= number <= _MAX_FLOAT:
+        raise ValueError(f"not from 0 to {_MAX_FLOAT}: {number}")
     return number
 
 
