Silence on links that carry jobs is noticed within a second again

Cause, by reasoning on paper: a client may send a job again 1.3 s after its channel broke, also to another zone. Test: test_peering (a_link_that_carries_jobs_has_frequent_ heartbeats).

--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -26,9 +26,14 @@
 # Silence after which a link has failed, in intervals of its heartbeats.
 SILENT_INTERVALS = 2.5
 FAST_SILENCE_LIMIT_S = 0.6  # four fast intervals, since short pauses happen
-# Shortest silence after which an accepted link has failed; more if the gap
-# between its last heartbeats was longer than that of a placer's link.
+# Silence after which an accepted link has failed that carries jobs. Clients of
+# its dialler may send a job again 1.3 s after they got no answer. Other links
+# may be silent for longer, in proportion to the gap between their heartbeats.
 ACCEPTED_SILENCE_LIMIT_S = 1.0
+# A link counts as carrying jobs for this long after one. Its dialler sends
+# heartbeats at least every SLOW_HEARTBEAT_INTERVAL_S a little longer.
+CARRIES_JOBS_S = 10.0
+CARRIES_JOBS_MARGIN_S = 2.0
 SILENCE_CHECK_INTERVAL_S = 0.15
 UNREACHABLE_AFTER_S = 1.5  # since the last contact, without an open link
 RECONNECT_DELAY_S = 0.1
@@ -207,6 +212,11 @@
     is_silent: bool = False
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _heartbeat_at: float = 0.0
+    _job_at: float = -1e9
+
+    def record_job(self, now: float) -> None:
+        """Records that a job arrived."""
+        self._job_at = now
 
     def record_heartbeat(self, now: float) -> None:
         """Records that a heartbeat arrived."""
@@ -216,11 +226,10 @@
 
     def has_failed(self, now: float) -> bool:
         """Returns whether the peer has been silent for too long."""
-        limit_s = max(
-            ACCEPTED_SILENCE_LIMIT_S,
-            min(self.heartbeat_gap_s, IDLE_HEARTBEAT_INTERVAL_S)
-            * SILENT_INTERVALS,
-        )
+        limit_s = ACCEPTED_SILENCE_LIMIT_S
+        if now - self._job_at > CARRIES_JOBS_S:
+            gap_s = min(self.heartbeat_gap_s, IDLE_HEARTBEAT_INTERVAL_S)
+            limit_s = max(limit_s, gap_s * SILENT_INTERVALS)
         return now - self.heard_at > limit_s
 
 
@@ -249,6 +258,8 @@
     created_at: float = attrs.field(factory=clock.now)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _outbox: LinkSocket | None = None
+    _job_at: float = -1e9
+    _first_job: trio.Event = attrs.field(factory=trio.Event)
 
     @property
     def is_open(self) -> bool:
@@ -268,8 +279,16 @@
 
     def post(self, message: messages.Message) -> bool:
         """Sends a message; returns False if it cannot be sent."""
+        if isinstance(message, messages.SubmitJob):
+            now = clock.now()
+            if not self._carries_jobs(now):
+                self._first_job.set()
+            self._job_at = now
         return self._outbox is not None and self._outbox.post(message)
 
+    def _carries_jobs(self, now: float) -> bool:
+        return now - self._job_at < CARRIES_JOBS_S + CARRIES_JOBS_MARGIN_S
+
     def post_frame(self, frame: bytes) -> bool:
         """Sends an encoded message; returns False if it cannot be sent."""
         return self._outbox is not None and self._outbox.post_frame(frame)
@@ -319,13 +338,22 @@
                 self.hub.on_link_closed(self, reason)
 
     async def _send_heartbeats(self) -> None:
+        asked_at = 0.0
         while True:
+            now = clock.now()
             interval_s = self.heartbeat_interval_s
+            if self._carries_jobs(now):
+                interval_s = min(interval_s, SLOW_HEARTBEAT_INTERVAL_S)
             limit_s = max(FAST_SILENCE_LIMIT_S, interval_s * SILENT_INTERVALS)
-            if clock.now() - self.heard_at > limit_s:
+            if now - max(self.heard_at, asked_at) > limit_s:
                 raise _LinkEndedError("silent")
             self.post_frame(self.hub.heartbeat_frame())
-            await trio.sleep(interval_s)
+            self._first_job = trio.Event()
+            with trio.move_on_after(interval_s):
+                await self._first_job.wait()
+                # The reply to the last heartbeat may be older than the limit
+                # that applies from now on.
+                asked_at = clock.now()
 
     async def _receive(self, outbox: LinkSocket) -> None:
         decoder = _HeartbeatDecoder()
@@ -478,6 +506,8 @@
                     check_heartbeat(message, session.peer_id)
                     session.record_heartbeat(session.heard_at)
                     session.outbox.post_frame(self.heartbeat_frame())
+                elif isinstance(message, messages.SubmitJob):
+                    session.record_job(session.heard_at)
                 self.on_request(session, message, is_repeated)
 
     async def run_silence_checks(self) -> None:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -19,10 +19,6 @@
 from acacialine import zonetables
 
 ORPHAN_TIMEOUT_S = 0.3  # time for a dispatcher whose link broke to reconnect
-# The same for a dispatcher that fell silent, which may only be slow or paused.
-# With the silence before and a lease it ends before the dispatcher, if it was
-# only cut off, takes its jobs to another zone.
-SILENT_ORPHAN_TIMEOUT_S = 0.6
 RUN_NUMBERS_PER_OWNER = 16  # run numbers of a task reserved for each owner
 # A job that is running at its deadline may continue for the client's retry,
 # which arrives 1.3 s after the 504 and attaches to the job.
@@ -129,8 +125,6 @@
         tables = self.tables
         job = tables.jobs.get(submission.job_id)
         if job is not None:
-            if not job.origins:
-                job.is_paused = False
             job.origins.add(origin)
             job.deadline_at = max(job.deadline_at, now + submission.left_s)
             self._log(events.Event.ZONE_JOB_ATTACHED, job=job.id)
@@ -299,8 +293,9 @@
     def remove_origin(self, origin, is_silent: bool, now: float) -> None:
         """Removes the session of an unreachable dispatcher from all jobs.
 
-        Its jobs continue for a while, because it may submit them again. If it
-        only fell silent, they start no further tasks meanwhile.
+        If only its link broke, its jobs continue for ORPHAN_TIMEOUT_S, because
+        it may submit them again. If it was silent, its clients may already be
+        about to send their jobs to another zone, so its jobs end at once.
 
         Args:
             origin: The session of the dispatcher.
@@ -311,19 +306,16 @@
         for job in list(self.tables.jobs.values()):
             if origin not in job.origins:
                 continue
-            if job.origins == {origin}:
+            if not is_silent and job.origins == {origin}:
                 job.origins.clear()
-                job.is_paused = is_silent
-                job.orphaned_until = now + (
-                    SILENT_ORPHAN_TIMEOUT_S if is_silent else ORPHAN_TIMEOUT_S
-                )
+                job.orphaned_at = now
             else:
                 self.cancel(job.id, origin, "entry lost", now)
 
     def _end_orphaned_jobs(self, now: float) -> None:
-        """Cancels jobs whose dispatchers have not returned."""
+        """Cancels jobs without an origin for ORPHAN_TIMEOUT_S."""
         for job in list(self.tables.jobs.values()):
-            if job.origins or now < job.orphaned_until:
+            if job.origins or now - job.orphaned_at < ORPHAN_TIMEOUT_S:
                 continue
             self._log(
                 events.Event.ZONE_JOB_CANCELLED, job=job.id, reason="entry lost"
@@ -440,7 +432,6 @@
             j
             for j in self.tables.jobs.values()
             if j.waiting
-            and not j.is_paused
             and now >= j.not_before
             and (
                 now >= j.hold_until
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -14,7 +14,9 @@
 from acacialine import links
 from acacialine import messages
 from acacialine import peering
+from acacialine import placerhost
 from acacialine.tests import support
+from acacialine.tests import zonebuilders as build
 
 KEY = ("key",)
 
@@ -165,6 +167,23 @@
 
         self.run_scenario(scenario)
 
+    def test_a_link_that_carries_jobs_has_frequent_heartbeats(self):
+        # Its silence must be noticed before a client sends its job again.
+        async def scenario(acceptor, dialler, link):
+            link.heartbeat_interval_s = 60.0
+            await trio.sleep(0.1)
+            count = len(acceptor.requests)
+            link.post(placerhost.encode_submission(build.submission()))
+            await self.wait_for(lambda: len(acceptor.requests) >= count + 2)
+            await trio.sleep(2 * peering.SLOW_HEARTBEAT_INTERVAL_S + 0.3)
+            self.assertGreaterEqual(len(acceptor.requests), count + 4)
+            (session,) = set(acceptor.sessions)
+            now = session.heard_at
+            self.assertFalse(session.has_failed(now + 0.95))
+            self.assertTrue(session.has_failed(now + 1.05))
+
+        self.run_scenario(scenario)
+
     def test_malformed_frames_end_the_link(self):
         async def scenario(acceptor, dialler, link):
             for frame in (b"\x00\x00\x00\x02zz", b"\xff\xff\xff\xff"):
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -261,8 +261,7 @@
             by index.
         possible_starts: Number of orders that may have started a task. A job
             with any can no longer be refused as not run.
-        orphaned_until: When it ends unless an origin returns.
-        is_paused: Whether it starts no task until an origin returns.
+        orphaned_at: When its last origin was lost.
         kept_until: Until when it may run past its deadline.
     """
 
@@ -285,8 +284,7 @@
     avoided_servers: dict[int, str] = attrs.field(factory=dict)
     possible_starts: int = 0
     first_start_at: float | None = None
-    orphaned_until: float = 0.0
-    is_paused: bool = False
+    orphaned_at: float = 0.0
     kept_until: float = 0.0
 
     def key(self, index: int) -> TaskKey:
