--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 fuzz: setup
 	ACACIALINE_FUZZ=1 $(BIN)/python -m unittest -v acacialine.tests.test_core_properties
+	ACACIALINE_EXAMPLES=10000 $(BIN)/python -m unittest -v acacialine.tests.test_fuzz acacialine.tests.test_httppool acacialine.tests.test_httpserver
 
 bench: setup
 	$(BIN)/acacialine bench run --deployment baekdu --scenario steady --seconds 10 --seed 1
