--- a/acacialine/tools/ordercost.py
+++ b/acacialine/tools/ordercost.py
@@ -19,7 +19,7 @@
 from acacialine import streams
 from acacialine.tools import ports
 
-ORDERS = 2000
+ORDERS = 800  # the server closes a connection after 1,000 requests
 WARM_UP_ORDERS = 100
 TIMEOUT_S = 5.0
 STARTUP_TIMEOUT_S = 20.0
