An idle owner learns that it is fenced from the first poll of a connection

Each poll was then the first of a new connection, and a refusal by epoch counted as a failed connection, so the owner took all servers for silent, kept its claim and its zone served nothing until another claimed. Change: the refusal fences the owner.

--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -416,6 +416,11 @@
             )
         self.placer.runs.record_poll_timeout(server, clock.now())
 
+    def handle_fenced(self, server: zonetables.Server) -> None:
+        """See `serverclient.Observer`."""
+        if not self._is_closed:
+            self._handle_fencing(server)
+
     def _handle_fencing(self, server: zonetables.Server) -> None:
         self.is_fenced = True
         self.placer.runs.handle_lost_ownership(server, clock.now())
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -71,6 +71,12 @@
     ) -> None:
         """Handles the response to a poll that was sent at a time."""
 
+    def handle_fenced(self, server: zonetables.Server) -> None:
+        """Handles that a server refused the first poll of a new connection.
+
+        It obeys another owner, which has a higher epoch.
+        """
+
     def handle_poll_end(
         self, server: zonetables.Server, error: Exception | None
     ) -> None:
@@ -281,7 +287,10 @@
             )
         try:
             self._handle_poll_response(reply, sent_at)
-        except (FencedError, PollError) as error:
+        except FencedError as error:
+            self.observer.handle_fenced(self.server)
+            raise httppool_lib.NotSentError("fenced") from error
+        except PollError as error:
             raise httppool_lib.NotSentError(repr(error)) from error
         if was_listed and self.server.incarnation != known_incarnation:
             raise httppool_lib.NotSentError("the backend server has restarted")
--- a/acacialine/tests/test_httppool.py
+++ b/acacialine/tests/test_httppool.py
@@ -483,5 +483,34 @@
         self.run_scenario(scenario, answer)
 
 
+class FencedTest(PoolCase):
+    def test_an_owner_learns_from_a_new_connection_that_it_is_fenced(self):
+        # Soak 1793381056: the connections of an idle owner had expired, so
+        # every poll was the first of a new one. The refusal of the servers,
+        # which obeyed a higher epoch, counted as silence, and the zone served
+        # nothing any more.
+        async def answer(request):
+            body = b'{"clockMs":1000,"reason":"fence"}'
+            return b"HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\n%s" % (
+                len(body),
+                body,
+            )
+
+        async def scenario(server, nursery):
+            listed = build.server(address=server.address)
+            observer = build.ServerObserver()
+            client = serverclient.ServerClient(
+                listed, 1, 1.0, observer, httppool.Deadlines(), nursery
+            )
+            client.poll(0.0)
+            with trio.fail_after(5):
+                while not observer.poll_errors:
+                    await trio.sleep(0.005)
+            self.assertEqual(observer.fenced, [listed])
+            client.close()
+
+        self.run_scenario(scenario, answer)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -61,6 +61,7 @@
         self.stops = []
         self.polls = []
         self.poll_errors = []
+        self.fenced = []
 
     def handle_start_outcome(self, run, outcome):
         self.outcomes.append((run, outcome))
@@ -71,6 +72,9 @@
     def handle_poll_result(self, server, result, sent_at):
         self.polls.append(result)
 
+    def handle_fenced(self, server):
+        self.fenced.append(server)
+
     def handle_poll_end(self, server, error):
         self.poll_errors.append(error)
 
