--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -121,6 +121,8 @@
                 self._note_store_failure(reader, error)
             except errors.PlatformError as error:
                 self._note_store_failure(reader, error)
+            except Exception as error:  # noqa: BLE001
+                self._dispatcher.log_unexpected(reader.__name__, error)
             if clock.now() - started_at > MAX_RETRY_DELAY_S * 4:
                 delay_s = MIN_RETRY_DELAY_S
             await trio.sleep(delay_s)
@@ -240,7 +242,8 @@
     async def _await_candidacy(self) -> None:
         """Returns once this dispatcher is a candidate for the placer.
 
-        Only candidates read the backend servers. The list of any other
+        Also returns when the list of backend servers is requested. Otherwise
+        only candidates read it. The list of any other
         dispatcher is as old as its last candidacy.
         """
         while not self._dispatcher.link_manager.is_senior:
--- a/acacialine/tests/test_storereader.py
+++ b/acacialine/tests/test_storereader.py
@@ -21,6 +21,10 @@
         )
         self.ownership = ownership.Ownership("me", 0.0, 0.0)
         self.logged = []
+        self.unexpected = []
+
+    def log_unexpected(self, operation, error):
+        self.unexpected.append((operation, error))
 
     def log(self, event, **fields):
         self.logged.append((event, fields))
@@ -54,6 +58,16 @@
         self.assertLessEqual(self.count_reads(read, 0.9), 4)
         self.assertEqual(len(self.dispatcher.logged), 1)
 
+    def test_an_unexpected_error_ends_neither_the_reader_nor_the_process(self):
+        async def read():
+            await trio.sleep(0)
+            raise KeyError("unexpected")
+
+        self.assertGreaterEqual(self.count_reads(read, 0.5), 2)
+        operation, error = self.dispatcher.unexpected[0]
+        self.assertEqual(operation, "read_and_count")
+        self.assertIsInstance(error, KeyError)
+
     def test_a_reader_starts_again_at_once_after_a_single_410(self):
         async def read():
             await trio.sleep(storereader.MAX_RETRY_DELAY_S + 0.1)
