--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -246,7 +246,9 @@
 
     def _remove_poller(self, server_id: str) -> None:
         # Removed first, as its poll in flight reports that it failed.
-        self._pollers.pop(server_id).client.close()
+        poller = self._pollers.pop(server_id)
+        poller.due_at = math.inf  # `tick` skips what is scheduled for it
+        poller.client.close()
 
     def tick(self, now: float) -> None:
         """Runs a tick of the placer and executes its orders."""
--- /dev/null
+++ b/acacialine/tests/test_placerhost.py
@@ -0,0 +1,76 @@
+"""Scheduling of the polls of backend servers."""
+
+import types
+import unittest
+from unittest import mock
+
+from acacialine import placerhost
+from acacialine.tests import zonebuilders as build
+
+
+class FakeClient:
+    """A client of a backend server that records its polls."""
+
+    def __init__(self, server, *args):
+        self.server = server
+        self.address = server.address
+        self.lease_s = 1.0
+        self.polls = []
+        self.is_closed = False
+
+    def poll(self, wait_s):
+        self.polls.append(wait_s)
+
+    def close(self):
+        self.is_closed = True
+
+
+class PlacerHostTest(unittest.TestCase):
+    def setUp(self):
+        placement = types.SimpleNamespace(lease_ms=1000, look_wait_ms=400)
+        dispatcher = mock.Mock()
+        dispatcher.settings = types.SimpleNamespace(placement=placement)
+        dispatcher.store_reader.is_store_down = False
+        self.placer = build.placer()
+        (self.server,) = self.placer.tables.servers.values()
+        self.host = placerhost.PlacerHost(
+            self.placer, 7, dispatcher=dispatcher, nursery=None
+        )
+        patcher = mock.patch.object(
+            placerhost.serverclient, "ServerClient", FakeClient
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.poller = self.host._add_poller(self.server)
+
+    def test_an_idle_server_is_polled_only_to_acknowledge_its_ends(self):
+        self.host._poll_if_due(self.poller, 1.0)
+        self.assertEqual(self.poller.client.polls, [])
+        self.server.must_acknowledge = True
+        self.host._poll_if_due(self.poller, 1.0)
+        self.host.tick(1.1)
+        self.assertEqual(self.poller.client.polls, [])
+        self.host.tick(1.0 + placerhost.ACKNOWLEDGE_POLL_DELAY_S)
+        self.assertEqual(self.poller.client.polls, [0.0])
+
+    def test_a_poll_scheduled_for_a_removed_client_is_not_sent(self):
+        # Incident inc-7fb9: it was sent on the closed client, and its failure
+        # counted against the new client of the server.
+        self.server.must_acknowledge = True
+        self.host._poll_if_due(self.poller, 1.0)
+        self.host._remove_poller(self.server.id)
+        successor = self.host._add_poller(self.server)
+        self.host.tick(9.0)
+        self.assertTrue(self.poller.client.is_closed)
+        self.assertEqual(self.poller.client.polls, [])
+        self.assertEqual(successor.client.polls, [])
+
+    def test_one_poll_is_in_flight_at_a_time(self):
+        self.server.runs_listed = False
+        for _ in range(3):
+            self.host._poll_if_due(self.poller, 1.0)
+        self.assertEqual(self.poller.client.polls, [0.0])
+
+
+if __name__ == "__main__":
+    unittest.main()
