Two suppressed lint findings go, two broad handlers say why

Cause: fields of a decoded page carried the platform's spelling and switched the check of names off; two handlers of any error named a rule that is not even selected. Change: the struct renames its fields itself; each handler says what it protects.

--- a/acacialine/httpserver.py
+++ b/acacialine/httpserver.py
@@ -260,7 +260,8 @@
             self.close_at = float("inf")
             try:
                 self._server.handler(exchange)
-            except Exception as error:  # noqa: BLE001
+            except Exception as error:
+                # A fault of the handler must end its request only.
                 self._server.on_error(error)
                 exchange.answer(500, close=True)
 
--- a/acacialine/platform/store.py
+++ b/acacialine/platform/store.py
@@ -58,12 +58,12 @@
     value: str = ""
 
 
-class _LatestPage(msgspec.Struct):
+class _LatestPage(msgspec.Struct, rename="camel"):
     """A response to log-newest."""
 
     items: list[_LatestItem] = []
-    hasMore: bool = False  # noqa: N815
-    endOffset: int = 0  # noqa: N815
+    has_more: bool = False
+    end_offset: int = 0
 
 
 @attrs.frozen
@@ -137,8 +137,8 @@
             # Records may be appended between two pages, so the end offset of
             # the first page is the one that misses none.
             if next_offset is None:
-                next_offset = content.endOffset
-            if not content.hasMore or not page:
+                next_offset = content.end_offset
+            if not content.has_more or not page:
                 return LatestRecords(records, next_offset)
             last_key = records[-1].key
 
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -121,7 +121,8 @@
                 self._note_store_failure(reader, error)
             except errors.PlatformError as error:
                 self._note_store_failure(reader, error)
-            except Exception as error:  # noqa: BLE001
+            except Exception as error:
+                # A fault of this program must not end all readers.
                 self._dispatcher.log_unexpected(reader.__name__, error)
             if clock.now() - started_at > MAX_RETRY_DELAY_S * 4:
                 delay_s = MIN_RETRY_DELAY_S
