--- a/acacialine/tests/test_platform.py
+++ b/acacialine/tests/test_platform.py
@@ -159,6 +159,8 @@
         self.assertEqual(
             observer.outcomes, [(run, orders.StartOutcome.NOT_STARTED)]
         )
+        self.assertEqual((observer.polls, observer.poll_errors), ([], []))
+        self.assertEqual(client.poll_count, 0)
 
 
 class DeadlineTest(unittest.TestCase):
