Log: silent backend servers once a second, with runs and lease left

Change: E824 repeats each second with the runs on the server and the time until their leases end; E825 says that it answers again; gauge of runs on silent servers. No logic changes. Result: test_docs, test_placerhost, test_httppool, test_placer pass.

--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -40,6 +40,7 @@
 POLL_RETRY_MAX_S = 0.8
 FENCED_POLL_RETRY_S = 0.1
 FREE_SLOTS_MAX_AGE_S = 0.05  # heartbeats report a count at most this old
+SILENCE_LOG_INTERVAL_S = 1.0  # between log lines about one silent server
 # Bounds of what a dispatcher may submit; far above what any does.
 MAX_TASKS = 100_000
 MAX_HANDOVERS = 10_000
@@ -59,6 +60,7 @@
             runs; infinite if not known yet.
         retry_s: Delay after the next failure.
         polled_seq: `last_ended_seq` when the poll in flight was sent.
+        silence_logged_at: When the log last said that the server is silent.
         due_at: When `tick` next looks at it; infinite if not scheduled.
     """
 
@@ -68,6 +70,7 @@
     acknowledge_at: float = math.inf
     retry_s: float = POLL_RETRY_S
     polled_seq: int = 0
+    silence_logged_at: float = -math.inf
     due_at: float = math.inf
 
 
@@ -169,8 +172,10 @@
         now = clock.now()
         tables = self.placer.tables
         counts = dict.fromkeys(("usable", "draining", "avoided"), 0)
-        used = total = 0
+        used = total = silent_runs = 0
         for server in tables.servers.values():
+            if server.unresponsive_since is not None:
+                silent_runs += len(server.runs)
             if serverhealth.is_usable(server, now):
                 counts["usable"] += 1
                 used += server.used.cpu
@@ -184,6 +189,7 @@
         meters.server_cpu_millicores.labels("used").set(used)
         meters.server_cpu_millicores.labels("usable").set(total)
         meters.open_jobs.set(len(tables.jobs))
+        meters.silent_runs.set(silent_runs)
         for name, value in tables.counters.items():
             kind, _, how = name.partition(".")
             if kind == "ended":
@@ -377,7 +383,16 @@
             return
         was_listed = server.runs_listed
         version = server.version
-        self.placer.runs.apply_poll(server, result, sent_at, clock.now())
+        silent_since = server.unresponsive_since
+        now = clock.now()
+        self.placer.runs.apply_poll(server, result, sent_at, now)
+        if silent_since is not None:
+            self._dispatcher.log(
+                events.Event.ZONE_SERVER_RESPONSIVE,
+                server=server.id,
+                silent_ms=zonetables.milliseconds(now - silent_since),
+                runs=len(server.runs),
+            )
         if server.version != version or server.runs_listed != was_listed:
             self._dispatcher.wake()
 
@@ -402,21 +417,30 @@
                 self._handle_fencing(server)
                 poller.not_before = now + FENCED_POLL_RETRY_S
             case _:
-                self._record_poll_failure(server, error)
+                self._record_poll_failure(poller, error)
                 poller.not_before = now + poller.retry_s
                 poller.retry_s = min(poller.retry_s * 2, POLL_RETRY_MAX_S)
         self._poll_if_due(poller, now)
 
     def _record_poll_failure(
-        self, server: zonetables.Server, error: Exception
+        self, poller: ServerPoller, error: Exception
     ) -> None:
-        if server.unresponsive_since is None:
-            self._dispatcher.log(
-                events.Event.ZONE_SERVER_SILENT,
-                server=server.id,
-                reason=str(error),
-            )
-        self.placer.runs.record_poll_timeout(server, clock.now())
+        server = poller.client.server
+        now = clock.now()
+        self.placer.runs.record_poll_timeout(server, now)
+        if now - poller.silence_logged_at < SILENCE_LOG_INTERVAL_S:
+            return
+        poller.silence_logged_at = now
+        self._dispatcher.log(
+            events.Event.ZONE_SERVER_SILENT,
+            server=server.id,
+            reason=str(error),
+            silent_ms=zonetables.milliseconds(now - server.unresponsive_since),
+            runs=len(server.runs),
+            lease_left_ms=zonetables.milliseconds(
+                max(0.0, server.lease_until - now)
+            ),
+        )
 
     def handle_fenced(self, server: zonetables.Server) -> None:
         """See `serverclient.Observer`."""
--- a/acacialine/prometheusmetrics.py
+++ b/acacialine/prometheusmetrics.py
@@ -59,6 +59,11 @@
         self.open_jobs = self._gauge(
             "acacialine_jobs_open", "Jobs at this placer.", ()
         )
+        self.silent_runs = self._gauge(
+            "acacialine_silent_runs",
+            "Runs on backend servers that do not answer polls.",
+            (),
+        )
 
     def count_event(self, event: events.Event) -> None:
         """Counts a numbered event."""
