--- a/acacialine/tests/test_dispatchers.py
+++ b/acacialine/tests/test_dispatchers.py
@@ -207,6 +207,19 @@
 
         self.run_scenario(scenario)
 
+    def test_tasks_of_a_crashed_server_start_again_after_its_lease(self):
+        async def scenario(cluster):
+            async with trio.open_nursery() as nursery:
+                job = "00000000000000ab"
+                nursery.start_soon(cluster.submit, "a1", job, 1, 0.5)
+                while not cluster.fake_servers.started_jobs:
+                    await trio.sleep(0.01)
+                (used,) = [s for s in cluster.servers if s.start_times]
+                await cluster.crash_server(used.fake_server.id, 3.0)
+            self.assertEqual(cluster.status_counts, {200: 1})
+
+        self.run_scenario(scenario, dispatchers={"a1": "a"})
+
     def test_jobs_of_a_full_zone_spill_to_another_zone(self):
         async def scenario(cluster):
             cluster.target_latency_ms = 60
--- a/acacialine/tools/faultproxy.py
+++ b/acacialine/tools/faultproxy.py
@@ -53,6 +53,8 @@
         delay_by_dialler: For peer links: returns the delay in seconds for
             the name of the dialler, or None to partition it.
         open_connections: Client sides of the open connections.
+        is_listening: Whether connections are accepted; else they are refused,
+            as by a machine on which no process listens.
     """
 
     listen: tuple[str, int]
@@ -67,7 +69,22 @@
     )
     held: frozenset[bool] = frozenset()
     open_connections: set[trio.SocketStream] = attrs.field(factory=set)
+    is_listening: bool = True
     _held_changed: trio.Event = attrs.field(factory=trio.Event)
+    _listening_changed: trio.Event = attrs.field(factory=trio.Event)
+
+    def set_listening(self, is_listening: bool) -> None:
+        """Opens the listener, or closes it with all its connections."""
+        self.is_listening = is_listening
+        self._listening_changed.set()
+        self._listening_changed = trio.Event()
+        if not is_listening:
+            self.reset_connections()
+
+    async def wait_listening(self, is_listening: bool) -> None:
+        """Waits until the listener is open or closed."""
+        while self.is_listening != is_listening:
+            await self._listening_changed.wait()
 
     def hold(self, *directions: bool) -> None:
         """Holds bytes back in these directions and releases the others."""
@@ -292,11 +309,18 @@
 async def serve(
     route: ProxyRoute, task_status=trio.TASK_STATUS_IGNORED
 ) -> None:
-    """Serves one route until cancelled."""
+    """Serves one route until cancelled, while it is to listen."""
     host, port = route.listen
-    listeners = await trio.open_tcp_listeners(port, host=host)
-    await trio.serve_listeners(
-        functools.partial(serve_connection, route),
-        listeners,
-        task_status=task_status,
-    )
+    while True:
+        await route.wait_listening(True)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                trio.serve_listeners,
+                functools.partial(serve_connection, route),
+                listeners,
+            )
+            task_status.started()
+            task_status = trio.TASK_STATUS_IGNORED
+            await route.wait_listening(False)
+            nursery.cancel_scope.cancel()
--- a/acacialine/tools/zonecluster.py
+++ b/acacialine/tools/zonecluster.py
@@ -198,6 +198,20 @@
         await self.nursery.start(http.new_server(endpoint, ("127.0.0.1", port)))
         self.nursery.start_soon(endpoint.run_heartbeat)
 
+    async def crash_server(self, server_id: str, down_s: float) -> None:
+        """Crashes a proxied backend server, which restarts after some time.
+
+        Meanwhile its address refuses connections.
+        """
+        (server,) = [s for s in self.servers if s.fake_server.id == server_id]
+        route = self.server_routes[server_id]
+        server.is_unresponsive = True
+        route.set_listening(False)
+        server.crash()
+        await trio.sleep(down_s)
+        server.is_unresponsive = False
+        route.set_listening(True)
+
     async def _end_due_runs(self) -> None:
         while True:
             for server in self.fake_servers.servers.values():
--- a/acacialine/tools/zonestandin.py
+++ b/acacialine/tools/zonestandin.py
@@ -216,7 +216,7 @@
             execute(content)
 
     def crash(self) -> None:
-        """Restarts the server as a new incarnation without state."""
+        """Makes the server a new incarnation without state."""
         self.fake_server.crash()
         self._incarnation = max(
             self._incarnation + 1, round(time.time() * 1000)
