Leases count from when their request may have reached the server

Callers: every job with a task on a crashed backend server was answered 504 at its deadline, up to 32 s later, also when another server was idle. Cause: the lease that a poll or start requests was recorded when the request was built. Polls of a dead server, each refused, went on extending its lease in the placer's tables, so its runs were never lost and their tasks never started again. Change: CallbackPool tells when a call may have reached the server; the client of a backend server records the lease then. A request of which nothing was sent can extend nothing at the server, so the lease ends when the server's does.

--- a/acacialine/httppool.py
+++ b/acacialine/httppool.py
@@ -367,6 +367,8 @@
         on_reply: Called with the reply.
         on_failure: Called instead with a `NotSentError` or `NoAnswerError`.
         not_after: Time after which the call must not be sent; None for any.
+        on_sent: Called when a part of the call may have reached the server;
+            None for nothing to call.
         is_done: Whether one of the two was called.
     """
 
@@ -375,6 +377,7 @@
     on_reply: collections.abc.Callable[[Reply], None]
     on_failure: collections.abc.Callable[[NotSentError | NoAnswerError], None]
     not_after: float | None = None
+    on_sent: collections.abc.Callable[[], None] | None = None
     is_done: bool = False
 
 
@@ -460,6 +463,8 @@
             connection.close()
             self._fail(call, error)
             return
+        if call.on_sent is not None:
+            call.on_sent()
         connection.call = call
         self.deadlines.add(now + call.timeout_s, self, connection, call)
 
--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -73,3 +73,9 @@
         server.server_clock_ms + round(ahead_s * 1000),
         server.clock_at + ahead_s / SLOWEST_CLOCK_RATE,
     )
+
+
+def record_lease(server: zonetables.Server, lease: Lease | None) -> None:
+    """Records that a request with a lease, if any, may reach its server."""
+    if lease is not None:
+        server.lease_until = max(server.lease_until, lease.ends_by)
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -91,7 +91,9 @@
     """Sends the requests of one zone owner to one backend server.
 
     Each new connection begins with a poll, so that no start request can reach
-    an incarnation of the server that the tables do not know.
+    an incarnation of the server that the tables do not know. A lease counts
+    from when its request may have reached the server: attempts to reach a
+    server that has crashed must not extend the leases there.
 
     Attributes:
         epoch: Epoch of the owner.
@@ -159,7 +161,6 @@
             "deadlineMs": lease.deadline_ms,
             "fencingToken": self.epoch,
         }
-        self.server.lease_until = max(self.server.lease_until, lease.ends_by)
 
         def on_reply(reply: httppool_lib.Reply) -> None:
             self.observer.handle_start_outcome(run, _start_outcome(reply))
@@ -179,6 +180,7 @@
                 on_reply,
                 on_failure,
                 run.sent_at + START_MAX_AGE_S,
+                lambda: leases.record_lease(self.server, lease),
             )
         )
 
@@ -215,6 +217,7 @@
                 before it responds.
         """
         sent_at = clock.now()
+        lease = self._next_lease(sent_at)
 
         def on_reply(reply: httppool_lib.Reply) -> None:
             try:
@@ -229,23 +232,31 @@
 
         self._connection_pool.send(
             httppool_lib.Call(
-                self._new_poll_request(sent_at, wait_s),
+                self._new_poll_request(lease, wait_s),
                 wait_s + POLL_TIMEOUT_S,
                 on_reply,
                 on_failure,
+                on_sent=lambda: leases.record_lease(self.server, lease),
             )
         )
 
-    def _new_poll_request(self, now: float, wait_s: float) -> bytes:
-        server = self.server
+    def _next_lease(self, now: float) -> leases.Lease | None:
+        """Returns the lease that a poll requests; None if it needs none."""
+        if not self.server.clock_at:
+            return None
+        if not zoneruns.needs_lease(self.server, now):
+            return None
+        return leases.new_lease(self.server, self.lease_s, now)
+
+    def _new_poll_request(
+        self, lease: leases.Lease | None, wait_s: float
+    ) -> bytes:
         self.poll_count += 1
         content = {
             "fencingToken": self.epoch,
-            "ackedThrough": server.last_ended_seq,
+            "ackedThrough": self.server.last_ended_seq,
         }
-        if server.clock_at and zoneruns.needs_lease(server, now):
-            lease = leases.new_lease(server, self.lease_s, now)
-            server.lease_until = max(server.lease_until, lease.ends_by)
+        if lease is not None:
             content["deadlineMs"] = lease.deadline_ms
         if wait_s > 0:
             content["waitMs"] = round(wait_s * 1000)
@@ -281,10 +292,10 @@
         sent_at = clock.now()
         known_incarnation = self.server.incarnation
         was_listed = self.server.runs_listed
+        lease = self._next_lease(sent_at)
+        leases.record_lease(self.server, lease)
         with trio.fail_after(POLL_TIMEOUT_S):
-            reply = await connection.exchange(
-                self._new_poll_request(sent_at, 0)
-            )
+            reply = await connection.exchange(self._new_poll_request(lease, 0))
         try:
             self._handle_poll_response(reply, sent_at)
         except FencedError as error:
