Tasks under which two backend servers crashed are given up

Callers: one task crashed server after server; the jobs beside it on each of them failed or came late, and others were refused while the servers were down. Cause: a run that ended with its server counted for nothing. Its task started again without limit, beside other tasks, and what was known of it was lost with the job, the placer or the zone. Change: losses of servers are counted by task. A refused connection, another incarnation at the address or a restart is a crash; a silent server counts as an unexplained loss once its lease has ended, and is explained when it returns. After two crashes, or three losses of any kind, the job is answered as failed at once. A task with one crash is suspect: it starts only on an empty server, which is reserved for it and shared with nobody, and not past its deadline. So the next crash strikes no other task, and a task that was only beside it is cleared. The counts outlive the job and go to the candidates of the zone and to the other zones; a job that was given up starts nowhere. Status 421 ends the runs of a server at once.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -205,6 +205,14 @@
 
 struct KeptConfirmed { jobId @0 :Text; }
 
+struct TaskLost {
+  jobId @0 :Text;
+  index @1 :UInt32;
+  crashes @2 :UInt32;
+  unexplained @3 :UInt32;
+  isRelayed @4 :Bool;
+}
+
 struct JobVerdict {
   jobId @0 :Text;
   verdict @1 :Text;
@@ -243,5 +251,6 @@
     keepJob @22 :KeepJob;
     jobKept @23 :JobKept;
     keptConfirmed @24 :KeptConfirmed;
+    taskLost @25 :TaskLost;
   }
 }
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -25,6 +25,7 @@
 from acacialine import leases
 from acacialine import linkmanager as linkmanager_lib
 from acacialine import links
+from acacialine import losses as losses_lib
 from acacialine import messages
 from acacialine import ownership as ownership_lib
 from acacialine import peering
@@ -80,6 +81,8 @@
         link_manager: Maintains the links to other dispatchers.
         remote_jobs: Jobs that the placer of this zone told the candidates of,
             by id; used if this dispatcher becomes the placer.
+        losses: Lost runs of recent jobs, of all zones; the placer in this
+            process shares it.
     """
 
     settings: dispatchsettings.Settings
@@ -98,6 +101,7 @@
         factory=prometheusmetrics_lib.PrometheusMetrics
     )
     remote_jobs: dict[str, zonetables.RemoteJob] = attrs.field(factory=dict)
+    losses: losses_lib.LossTable = attrs.field(factory=losses_lib.LossTable)
     _nursery: trio.Nursery = attrs.field(init=False)
     _wake_event: trio.Event = attrs.field(factory=trio.Event)
     _stop_requested: trio.Event = attrs.field(factory=trio.Event)
@@ -474,6 +478,38 @@
         if not message.is_relayed:
             self._relay_kept_job(message.job_id, message.zone)
 
+    def share_losses(
+        self, key: zonetables.TaskKey, task_losses: losses_lib.TaskLosses
+    ) -> None:
+        """Tells all linked dispatchers of the losses of a task."""
+        message = messages.TaskLost(
+            key.job_id,
+            key.index,
+            task_losses.crashes,
+            task_losses.unexplained,
+            False,
+        )
+        for link in self.hub.dialled_links.values():
+            if link.is_open:
+                link.post(message)
+
+    def _receive_losses(self, message: messages.TaskLost) -> None:
+        """Records the losses of a task, here and at the other candidates."""
+        now = clock.now()
+        self.losses.drop_expired(now)
+        self.losses.merge(
+            message.job_id,
+            message.index,
+            losses_lib.TaskLosses(message.crashes, message.unexplained),
+            now,
+        )
+        if self.placer_host is None or message.is_relayed:
+            return
+        relayed = attrs.evolve(message, is_relayed=True)
+        for link in self.hub.dialled_links.values():
+            if link.is_open and link.heartbeat.zone == self.zone:
+                link.post(relayed)
+
     # Peers
 
     def _build_zone_state(self) -> messages.ZoneState:
@@ -590,6 +626,8 @@
                 self._receive_kept_job(message)
                 if self.placer_host is not None and not message.is_relayed:
                     session.outbox.post(messages.KeptConfirmed(job_id))
+            case messages.TaskLost():
+                self._receive_losses(message)
             case messages.RoutesCall(version):
                 config = self.configuration
                 if config is not None and config.version > version:
--- a/acacialine/httppool.py
+++ b/acacialine/httppool.py
@@ -34,6 +34,10 @@
         super().__init__(errors.Code.UNREACHABLE, message)
 
 
+class RefusedError(NotSentError):
+    """No process listens at the address of the server."""
+
+
 class NoAnswerError(errors.AcacialineError):
     """A call was sent, at least in part, and got no complete reply."""
 
@@ -247,6 +251,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with trio.fail_after(timeout_s):
             await _connect_socket(sock, address)
+    except ConnectionRefusedError as error:
+        sock.close()
+        raise RefusedError(f"cannot connect: {error!r}") from error
     except (OSError, OverflowError, trio.TooSlowError) as error:
         sock.close()
         raise NotSentError(f"cannot connect: {error!r}") from error
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -507,6 +507,28 @@
     job_id: str
 
 
+@attrs.frozen
+class TaskLost:
+    """Notice of how often backend servers were lost while they ran a task.
+
+    A placer sends it to the candidates of its zone and to the other zones,
+    whose placers relay it to their candidates.
+
+    Attributes:
+        job_id: The job.
+        index: Index of the task in the job.
+        crashes: See `losses.TaskLosses`.
+        unexplained: See `losses.TaskLosses`.
+        is_relayed: Whether the receiver is not to relay it.
+    """
+
+    job_id: str
+    index: int
+    crashes: int
+    unexplained: int
+    is_relayed: bool
+
+
 @attrs.frozen
 class JobVerdict:
     """How a job ended at a placer.
@@ -570,6 +592,7 @@
     | KeepJob
     | JobKept
     | KeptConfirmed
+    | TaskLost
     | JobVerdict
     | RoutesCall
     | RoutesReply
--- a/acacialine/orders.py
+++ b/acacialine/orders.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from acacialine import losses as losses_lib
 from acacialine import zonetables
 
 
@@ -67,6 +68,17 @@
     job_id: str
 
 
+@attrs.frozen
+class ShareLosses:
+    """Order: tell other dispatchers of the losses of a task.
+
+    A later owner of this zone, or the placer of another zone, may get its job.
+    """
+
+    key: zonetables.TaskKey
+    losses: losses_lib.TaskLosses
+
+
 @attrs.frozen
 class LogDecision:
     """Order: write one line to the log."""
@@ -75,7 +87,7 @@
     fields: dict
 
 
-Order = StartRun | StopRun | AnswerJob | ShareJob | LogDecision
+Order = StartRun | StopRun | AnswerJob | ShareJob | ShareLosses | LogDecision
 
 
 @attrs.frozen
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -23,6 +23,7 @@
 # A job that is running at its deadline may continue for the client's retry,
 # which arrives 1.3 s after the 504 and attaches to the job.
 KEPT_JOB_S = 2.0
+GIVEN_UP_REASON = "servers crashed"
 KEEP_REQUEST_WAIT_S = 0.3  # time after the deadline to wait for `keep_job`
 # Time without starts for open jobs after this process was suspended: broken
 # links are detected and jobs of dispatchers that do not reconnect are ended.
@@ -55,16 +56,18 @@
     is_spilled: bool = False
 
 
-@attrs.frozen
+@attrs.define
 class _UsableServer:
     """A backend server that accepts new tasks.
 
     Attributes:
         slowness_steps: Expected slowness in units of SLOWNESS_STEP.
+        is_reserved: Whether only a suspect task may start there.
     """
 
     slowness_steps: int
     server: zonetables.Server
+    is_reserved: bool = False
 
 
 @attrs.frozen
@@ -161,6 +164,9 @@
         job = self._new_job(submission, origin, ended_job, now)
         if submission.handovers:
             self.runs.adopt(job)
+        if tables.losses.is_given_up(job.id):
+            self._fail_started_job(job, GIVEN_UP_REASON, now)
+            return
         decision = self.admission.admit(job, submission.is_spilled, now)
         if decision.reason and not job.possible_starts:
             self._refuse_job(job, decision.reason, decision.forecast, now)
@@ -359,6 +365,12 @@
             forecast = schedule.new_forecast(self.tables, job, now)
             self._refuse_job(job, reason, forecast, now)
             return
+        self._fail_started_job(job, reason, now)
+
+    def _fail_started_job(
+        self, job: zonetables.Job, reason: str, now: float
+    ) -> None:
+        """Ends a job of which a task may have started."""
         self._log(
             events.Event.ZONE_JOB_FAILED,
             job=job.id,
@@ -371,6 +383,12 @@
         self.tables.counters[f"failed.{reason}"] += 1
         self._end_job(job, zonetables.Verdict.FAILED, reason, now)
 
+    def give_up_job(self, job_id: str, now: float) -> None:
+        """See `zoneruns.JobCallbacks`."""
+        job = self.tables.jobs.get(job_id)
+        if job is not None:
+            self._fail_started_job(job, GIVEN_UP_REASON, now)
+
     def _abandon_job(self, job: zonetables.Job, now: float) -> None:
         """Ends a job past its deadline that no client retried."""
         self._log(
@@ -441,6 +459,7 @@
         if not waiting:
             return
         usable = self._usable_servers(waiting, now)
+        self._reserve_servers(usable, waiting, now)
         unplaceable = []
         for job in schedule.sort_by_urgency(waiting, now):
             if any(d.excludes(job) for d in unplaceable):
@@ -449,7 +468,14 @@
             for index in list(job.waiting):
                 if job.key(index) in self.tables.live_runs:
                     continue  # an earlier run of the task may be alive
-                server = self._choose_server(job, index, usable, now)
+                is_suspect = self._is_suspect(job, index)
+                if is_suspect and not _ends_in_time(job, now):
+                    continue
+                server = self._choose_server(
+                    job, index, usable, is_suspect, now
+                )
+                if server is None and is_suspect:
+                    continue
                 if server is None:
                     if index not in job.avoided_servers:
                         unplaceable.append(
@@ -458,7 +484,10 @@
                     break
                 job.waiting.remove(index)
                 started.append(
-                    (index, self._start_run(job, index, server, now))
+                    (
+                        index,
+                        self._start_run(job, index, server, is_suspect, now),
+                    )
                 )
             if started:
                 self._log_started(job, started, now)
@@ -482,9 +511,51 @@
         return usable
 
     def _accepts_tasks(self, server: zonetables.Server, now: float) -> bool:
-        return serverhealth.is_usable(
-            server, now
-        ) and not zoneruns.has_unclaimed_runs(server)
+        return (
+            serverhealth.is_usable(server, now)
+            and not zoneruns.has_unclaimed_runs(server)
+            and not server.isolated_runs
+        )
+
+    def _is_suspect(self, job: zonetables.Job, index: int) -> bool:
+        """Returns whether a task may have crashed a backend server.
+
+        It runs isolated: a further crash strikes no other task, and proves
+        that none beside it was the cause.
+        """
+        return self.tables.losses.is_suspect(job.id, index)
+
+    def _reserve_servers(
+        self,
+        usable: list["_UsableServer"],
+        waiting: list[zonetables.Job],
+        now: float,
+    ) -> None:
+        """Reserves a server of each service for which a suspect task waits.
+
+        It is the one that is empty soonest. No other task starts there, so it
+        stays the soonest and is reserved again until the suspect has started.
+        """
+        if not len(self.tables.losses):
+            return
+        services = {
+            job.queue.service
+            for job in waiting
+            if _ends_in_time(job, now)
+            and any(self._is_suspect(job, index) for index in job.waiting)
+        }
+        for service in services:
+            candidates = [
+                s
+                for s in self.tables.servers.values()
+                if s.service == service and self._accepts_tasks(s, now)
+            ]
+            if not candidates:
+                continue
+            reserved = min(candidates, key=lambda s: _empty_at(s, now))
+            for candidate in usable:
+                if candidate.server is reserved:
+                    candidate.is_reserved = True
 
     def _log_started(
         self,
@@ -511,12 +582,14 @@
         job: zonetables.Job,
         index: int,
         usable: list["_UsableServer"],
+        is_suspect: bool,
         now: float,
     ) -> zonetables.Server | None:
         """Returns the fastest server that the task fits on, else None.
 
-        Among equally fast servers the one with the least free CPU is chosen,
-        so that contiguous capacity remains for large tasks.
+        A suspect task needs a server without any run. Among equally fast
+        servers the one with the least free CPU is chosen, so that contiguous
+        capacity remains for large tasks.
         """
         best = None
         best_slowness_steps = 0
@@ -531,6 +604,11 @@
             server = candidate.server
             if server.service != job.queue.service:
                 continue
+            if is_suspect:
+                if server.runs:
+                    continue
+            elif candidate.is_reserved or server.isolated_runs:
+                continue
             if server.id == avoided_id and self._has_alternative(
                 server, job, now
             ):
@@ -559,6 +637,7 @@
         job: zonetables.Job,
         index: int,
         server: zonetables.Server,
+        is_isolated: bool,
         now: float,
     ) -> zonetables.Run:
         number = job.next_run_number.get(index, 1)
@@ -573,6 +652,7 @@
             zonetables.RunState.STARTING,
             now,
             expected_s,
+            is_isolated=is_isolated,
         )
         self.tables.add_run(run)
         job.runs[index] = run
@@ -586,6 +666,7 @@
     def _drop_expired_records(self, now: float) -> None:
         tables = self.tables
         zonetables.drop_expired_remote_jobs(tables.remote_jobs, now)
+        tables.losses.drop_expired(now)
         for table, retention_s in (
             (tables.ended_jobs, zonetables.ENDED_JOBS_RETENTION_S),
             (tables.unclaimed_ends, zonetables.ENDED_JOBS_RETENTION_S),
@@ -676,6 +757,19 @@
         self._emit(orders_lib.LogDecision(event, fields))
 
 
+def _ends_in_time(job: zonetables.Job, now: float) -> bool:
+    """Returns whether a task that starts now is to end before the deadline."""
+    return now + job.estimate_s <= job.deadline_at
+
+
+def _empty_at(server: zonetables.Server, now: float) -> float:
+    """Returns when the last run of a server is expected to end."""
+    return max(
+        (schedule.expected_end(run, now) for run in server.runs.values()),
+        default=now,
+    )
+
+
 def _may_ever_run(server: zonetables.Server, job: zonetables.Job) -> bool:
     """Returns whether an idle backend server could run the tasks of a job."""
     step = job.step
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -293,6 +293,8 @@
                     origin.post(message)
             case orders_lib.ShareJob(job_id):
                 self._dispatcher.share_job(job_id)
+            case orders_lib.ShareLosses(key, task_losses):
+                self._dispatcher.share_losses(key, task_losses)
             case orders_lib.LogDecision(event, fields):
                 self._dispatcher.log(event, **fields)
 
@@ -428,6 +430,13 @@
         server = poller.client.server
         now = clock.now()
         self.placer.runs.record_poll_timeout(server, now)
+        match error:
+            case serverclient.ReplacedError():
+                self.placer.runs.record_replacement(server, now)
+                self._dispatcher.wake()
+            case serverclient.RefusedError():
+                self.placer.runs.record_crash(server, "refused", now)
+                self._dispatcher.wake()
         if now - poller.silence_logged_at < SILENCE_LOG_INTERVAL_S:
             return
         poller.silence_logged_at = now
@@ -483,6 +492,7 @@
         + lease_times.max_lease_s
     )
     placer.tables.remote_jobs.update(dispatcher.remote_jobs)
+    placer.tables.losses = dispatcher.losses
     return PlacerHost(placer, epoch, dispatcher=dispatcher, nursery=nursery)
 
 
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -52,6 +52,18 @@
     """A poll of a backend server failed."""
 
 
+class RefusedError(PollError):
+    """The address of the backend server refuses connections."""
+
+
+class ReplacedError(PollError):
+    """Another incarnation has the address of the backend server."""
+
+
+class _ReplacedBeforeCallError(httppool_lib.NotSentError):
+    """The first poll of a new connection found another incarnation."""
+
+
 class Observer(typing.Protocol):
     """Receives the results of the requests; implemented by the placer host."""
 
@@ -82,7 +94,8 @@
     ) -> None:
         """Handles the end of a poll; called after its result, if any.
 
-        The error is a `FencedError` or a `PollError`.
+        The error is a `FencedError` or a `PollError`; subclasses of the latter
+        tell that the server has crashed.
         """
 
 
@@ -154,6 +167,12 @@
             return
         lease = leases.new_lease(self.server, self.lease_s, now)
         run.not_after = max(run.not_after, lease.ends_by)
+        run.may_have_started = False
+
+        def on_sent() -> None:
+            run.may_have_started = True
+            leases.record_lease(self.server, lease)
+
         body = {
             "task": str(run.key),
             "run": run.number,
@@ -180,7 +199,7 @@
                 on_reply,
                 on_failure,
                 run.sent_at + START_MAX_AGE_S,
-                lambda: leases.record_lease(self.server, lease),
+                on_sent,
             )
         )
 
@@ -228,7 +247,7 @@
                 self.observer.handle_poll_end(self.server, None)
 
         def on_failure(error: errors.AcacialineError) -> None:
-            self.observer.handle_poll_end(self.server, PollError(str(error)))
+            self.observer.handle_poll_end(self.server, _poll_error(error))
 
         self._connection_pool.send(
             httppool_lib.Call(
@@ -269,6 +288,8 @@
     ) -> None:
         if reply.status == 409 and _reason(reply) == "fence":
             raise FencedError
+        if reply.status == 421:
+            raise ReplacedError("another incarnation has its address")
         if reply.status != 200:
             raise PollError(f"status {reply.status}")
         try:
@@ -301,6 +322,8 @@
         except FencedError as error:
             self.observer.handle_fenced(self.server)
             raise httppool_lib.NotSentError("fenced") from error
+        except ReplacedError as error:
+            raise _ReplacedBeforeCallError(str(error)) from error
         except PollError as error:
             raise httppool_lib.NotSentError(repr(error)) from error
         if was_listed and self.server.incarnation != known_incarnation:
@@ -311,6 +334,16 @@
         self._connection_pool.close()
 
 
+def _poll_error(error: errors.AcacialineError) -> PollError:
+    """Returns what the failure of a poll tells about its server."""
+    match error:
+        case httppool_lib.RefusedError():
+            return RefusedError(str(error))
+        case _ReplacedBeforeCallError():
+            return ReplacedError(str(error))
+    return PollError(str(error))
+
+
 def _reason(reply: httppool_lib.Reply) -> str:
     """Returns the reason of a refusal; empty if the body has none."""
     try:
--- a/acacialine/schedule.py
+++ b/acacialine/schedule.py
@@ -117,6 +117,8 @@
 ) -> _Slots:
     count = count_slots(server.capacity, demand)
     free_count = min(count, count_slots(server.free, demand))
+    if server.isolated_runs:
+        free_count = 0
     ends = []
     if free_count < count:
         ends = sorted(map(_undelayed_end, server.runs.values()))
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -85,7 +85,7 @@
     def servers_of(self, zone: str) -> list[zonetables.Server]:
         """Returns the backend servers of a zone that the store lists."""
         return [
-            attrs.evolve(s, runs={}, recently_ended={})
+            attrs.evolve(s, runs={}, recently_ended={}, unexplained_losses=[])
             for s in self._servers.values()
             if s.zone == zone
         ]
--- a/acacialine/tests/test_dispatchers.py
+++ b/acacialine/tests/test_dispatchers.py
@@ -13,6 +13,8 @@
 import trio
 
 from acacialine import clock
+from acacialine import losses
+from acacialine import zonetables
 from acacialine.tools import zonecluster
 
 LOSS_SLACK_S = 0.2  # lossSlackMs of the platform
@@ -220,6 +222,28 @@
 
         self.run_scenario(scenario, dispatchers={"a1": "a"})
 
+    def test_a_task_given_up_in_one_zone_starts_in_no_other(self):
+        async def scenario(cluster):
+            job = "00000000000000ab"
+            key = zonetables.TaskKey(job, 0, 0, 0)
+            cluster.fake_servers.crashing_tasks.add(key)
+            self.assertEqual(await cluster.submit("a1", job, 1), 500)
+            crashes = cluster.fake_servers.crash_counts[key]
+            self.assertEqual(crashes, losses.MAX_CRASHES)
+            self.assertEqual(await cluster.submit("b1", job, 1), 500)
+            placer = cluster.find_placer("a")
+            (other,) = {"a1", "a2"} - {placer}
+            cluster.processes[placer].kill()
+            await trio.sleep(2.0)
+            self.assertEqual(await cluster.submit(other, job, 1), 500)
+            self.assertEqual(cluster.fake_servers.crash_counts[key], crashes)
+
+        self.run_scenario(
+            scenario,
+            servers=("a", "a", "a", "b"),
+            dispatchers={"a1": "a", "a2": "a", "b1": "b"},
+        )
+
     def test_jobs_of_a_full_zone_spill_to_another_zone(self):
         async def scenario(cluster):
             cluster.target_latency_ms = 60
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -33,6 +33,7 @@
     def __init__(self, owner):
         self.owner = owner
         self.known_jobs = {}
+        self.known_losses = {}
 
 
 class Link:
@@ -67,6 +68,7 @@
         self.intakes = {z: intake_lib.Intake(z) for z in ZONES}
         self.links = {(d, z): Link(d, z) for d in ZONES for z in ZONES}
         self.refusals = {}
+        self.answers = {}
         self.kept_count = 0
 
     def servers_of(self, zone):
@@ -135,6 +137,18 @@
             self.zones[zone].known_jobs, job_id, running_zone, until
         )
 
+    def share_losses(self, owner, key, task_losses):
+        """Tells the candidates of both zones and the other placer."""
+        for zone in self.zones.values():
+            zone.known_losses[(key.job_id, key.index)] = task_losses
+            if zone.owner is not None:
+                zone.owner.placer.tables.losses.merge(
+                    key.job_id, key.index, task_losses, self.now
+                )
+
+    def prepare_job(self, job_id):
+        """Called before a client first sends a job; for subclasses."""
+
     def hand_over_fenced(self, owner):
         """A fenced owner hands its jobs back; the intakes notice by epoch."""
 
@@ -169,6 +183,8 @@
         zone = self.zones[zone_name]
         owner = zonesimulation.Owner(self, epoch, now, zone_name)
         owner.placer.tables.remote_jobs.update(zone.known_jobs)
+        for (job_id, index), known in zone.known_losses.items():
+            owner.placer.tables.losses.merge(job_id, index, known, now)
         if self.random.random() < 0.5:
             unreachable = self.random.choice(self.servers_of(zone_name))
             owner.unreachable_until[unreachable.id] = now + 0.7
@@ -256,6 +272,7 @@
         intake = self.intakes[dispatcher]
 
         def notify(answer):
+            self.answers.setdefault(job.job_id, []).append(answer.kind)
             self.refusals.setdefault(job.job_id, []).append(
                 answer.kind is intake_lib.AnswerKind.NOT_RUN
             )
@@ -297,6 +314,7 @@
                     left_s=0.6,
                     queue=build.queue(target_latency_s=2.0),
                 )
+                self.prepare_job(job_id)
                 self.send_job(job, 3)
             if self.random.random() < 0.006:
                 self.take_over(self.random.choice(ZONES))
--- a/acacialine/tests/test_placer_properties.py
+++ b/acacialine/tests/test_placer_properties.py
@@ -50,6 +50,9 @@
     def share(self, owner, job_id):
         """A single zone without spare candidates has nobody to tell."""
 
+    def share_losses(self, owner, key, task_losses):
+        """Nobody else needs to know."""
+
     def hand_over_fenced(self, owner):
         """Hands the jobs of a fenced owner to its successor."""
         successor = self.owners[-1]
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -71,7 +71,8 @@
 class Owner:
     """One placer and its simulated connections to the backend servers.
 
-    The simulation provides `answer`, `share` and `hand_over_fenced`.
+    The simulation provides `answer`, `share`, `share_losses` and
+    `hand_over_fenced`.
     """
 
     def __init__(self, simulation, epoch, now, zone="zone-a"):
@@ -112,6 +113,8 @@
                     self.simulation.answer(self, order)
                 case orders.ShareJob(job_id):
                     self.simulation.share(self, job_id)
+                case orders.ShareLosses(key, task_losses):
+                    self.simulation.share_losses(self, key, task_losses)
 
     def _handle_fenced(self):
         self.is_closed = True
@@ -120,6 +123,10 @@
     def _poll(self, server, now):
         simulation = self.simulation
         fake = simulation.server_pool.servers[server.id]
+        if fake.is_down(now):
+            self.placer.runs.record_poll_timeout(server, now)
+            self.placer.runs.record_crash(server, "refused", now)
+            return
         until = 0.0
         if server.clock_at and zoneruns.needs_lease(server, now):
             lease = leases.new_lease(server, LEASE_S, now)
@@ -129,6 +136,8 @@
         last_ended_seq = server.last_ended_seq
 
         def deliver(arrived_at):
+            if fake.is_down(arrived_at):
+                return
             observation = fake.poll(
                 self.epoch, last_ended_seq, until, arrived_at
             )
@@ -153,6 +162,11 @@
     def _start(self, run, now):
         simulation = self.simulation
         fake = simulation.server_pool.servers[run.server.id]
+        if fake.is_down(now):
+            self.placer.runs.handle_start_result(
+                run, orders.StartOutcome.UNHEALTHY, now
+            )
+            return
         lease = leases.new_lease(run.server, LEASE_S, now)
         run.not_after = lease.ends_by
         run.server.lease_until = max(run.server.lease_until, lease.ends_by)
@@ -160,7 +174,11 @@
         delays = simulation.draw_delays()
         has_outcome = []
 
+        incarnation = fake.incarnation
+
         def deliver(arrived_at):
+            if fake.is_down(arrived_at) or fake.incarnation != incarnation:
+                return  # its connection ended with the incarnation
             outcome = fake.start(run, self.epoch, now + LEASE_S, arrived_at)
 
             def on_reply(received_at):
@@ -190,7 +208,11 @@
         fake = simulation.server_pool.servers[run.server.id]
         delays = simulation.draw_delays()
 
+        incarnation = fake.incarnation
+
         def deliver(arrived_at):
+            if fake.is_down(arrived_at) or fake.incarnation != incarnation:
+                return
             confirmed = fake.stop(run, self.epoch, arrived_at)
 
             def on_reply(received_at):
--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -5,12 +5,19 @@
 clock, and `zonestandin` serves them over HTTP.
 """
 
+import collections
+import collections.abc
+import math
+
 import attrs
 
 from acacialine import orders
 from acacialine import zonetables
 
 STOP_DURATION_S = 0.05  # from a stop request until the run ends
+CRASH_DELAY_S = 0.01  # from the start of a task that crashes its server
+MAX_CRASHES = 3  # after so many crashes under a task its starts are limited
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 @attrs.define(eq=False)
@@ -38,6 +45,10 @@
         highest_numbers: Highest run number seen, by task key.
         ended: Ended runs that the placer has not acknowledged.
         ended_count: Number of ended runs, and sequence number of the last one.
+        incarnation: Number of its process, from 1.
+        down_until: When it restarts after a crash.
+        crash_at: When a task that it runs crashes it.
+        on_crash_due: Called then; by default it is down for a time.
     """
 
     id: str
@@ -49,18 +60,37 @@
     highest_numbers: dict = attrs.field(factory=dict)
     ended: list = attrs.field(factory=list)
     ended_count: int = 0
+    incarnation: int = 1
+    down_until: float = 0.0
+    crash_at: float = math.inf
+    on_crash_due: collections.abc.Callable[[], None] | None = None
+
+    def is_down(self, now: float) -> bool:
+        """Returns whether no process runs at its address."""
+        self.end_due_runs(now)
+        return now < self.down_until
 
     def crash(self) -> None:
         """Ends all runs and drops the epoch and all run numbers."""
+        self.incarnation += 1
+        self.crash_at = math.inf
         for run in self.runs.values():
             self.server_pool.record_end(run)
+            self.server_pool.crash_counts[run.key] += 1
         self.runs.clear()
         self.highest_numbers.clear()
         self.ended.clear()
         self.ended_count = self.epoch = 0
 
     def end_due_runs(self, now: float) -> None:
-        """Ends the runs that are due at `now`."""
+        """Ends the runs that are due at `now`, or crashes if that is due."""
+        if now >= self.crash_at:
+            self.down_until = self.crash_at + self.server_pool.down_s
+            self.crash_at = math.inf
+            if self.on_crash_due is not None:
+                self.on_crash_due()
+            else:
+                self.crash()
         for run_id, run in list(self.runs.items()):
             if now > self.lease_until:
                 self._end_run(run_id, zonetables.EndKind.LAPSED)
@@ -102,6 +132,8 @@
         new_run = FakeRun(run.key, run.number, cpu, now + length_s)
         self.server_pool.record_start(self, new_run)
         self.runs[(run.key, run.number)] = new_run
+        if run.key in self.server_pool.crashing_tasks:
+            self.crash_at = min(self.crash_at, now + CRASH_DELAY_S)
         return orders.StartOutcome.STARTED
 
     def stop(self, run: zonetables.Run, epoch: int, now: float) -> bool:
@@ -139,7 +171,7 @@
             for run in self.runs.values()
         )
         return orders.PollResult(
-            1, round(now * 1000), running, tuple(self.ended)
+            self.incarnation, round(now * 1000), running, tuple(self.ended)
         )
 
 
@@ -151,10 +183,15 @@
         job_cpu: CPU millicores of a task, by job.
         job_length_s: Duration of a task in seconds, by job.
         failing_jobs: Jobs whose tasks fail.
+        crashing_tasks: Tasks that crash each server that starts them.
+        down_s: Time in s from a crash until the server restarts.
+        crash_counts: Number of servers that crashed under a task.
+        late_start_counts: Number of starts of a task after MAX_CRASHES.
         running_counts: Number of present runs, by task key.
         started_jobs: Jobs of which a run has started.
-        violations: Each as `LIMIT` (over capacity) or `TWICE` (a second run of
-            a task at a time) with details; `zonecluster` adds refusals
+        violations: Each as `LIMIT` (over capacity), `TWICE` (a second run of
+            a task at a time) or `BUDGET` (a task that crashes its servers is
+            started too often) with details; `zonecluster` adds refusals
             without Retry-After.
     """
 
@@ -162,6 +199,12 @@
     job_length_s: dict[str, float] = attrs.field(factory=dict)
     servers: dict[str, FakeServer] = attrs.field(factory=dict)
     failing_jobs: set = attrs.field(factory=set)
+    crashing_tasks: set = attrs.field(factory=set)
+    down_s: float = 3.0
+    crash_counts: collections.Counter = attrs.field(factory=collections.Counter)
+    late_start_counts: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
     running_counts: dict = attrs.field(factory=dict)
     started_jobs: set = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
@@ -184,6 +227,10 @@
             )
         if self.running_counts.get(run.key):
             self.violations.append(f"TWICE {run.key} on {server.id}")
+        if self.crash_counts[run.key] >= MAX_CRASHES:
+            self.late_start_counts[run.key] += 1
+            if self.late_start_counts[run.key] > MAX_STARTS_AFTER_CRASHES:
+                self.violations.append(f"BUDGET {run.key} on {server.id}")
         self.running_counts[run.key] = self.running_counts.get(run.key, 0) + 1
         self.started_jobs.add(run.key.job_id)
 
--- a/acacialine/tools/zonecluster.py
+++ b/acacialine/tools/zonecluster.py
@@ -194,6 +194,12 @@
             self.server_routes[server_id] = await self._start_proxy(
                 proxy_port, port
             )
+        fake_server.on_crash_due = functools.partial(
+            self.nursery.start_soon,
+            self.crash_server,
+            server_id,
+            self.fake_servers.down_s,
+        )
         self.servers.append(endpoint)
         await self.nursery.start(http.new_server(endpoint, ("127.0.0.1", port)))
         self.nursery.start_soon(endpoint.run_heartbeat)
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -11,6 +11,7 @@
 
 from acacialine import events
 from acacialine import leases
+from acacialine import losses as losses_lib
 from acacialine import orders as orders_lib
 from acacialine import serverhealth
 from acacialine import zonetables
@@ -32,6 +33,9 @@
     def task_failed(self, run: zonetables.Run, now: float) -> bool:
         """Records that a run failed; returns whether its task is retried."""
 
+    def give_up_job(self, job_id: str, now: float) -> None:
+        """Fails an open job, as the servers of its task were lost too often."""
+
     def mark_task_done(
         self, job: zonetables.Job, index: int, now: float
     ) -> None:
@@ -210,6 +214,8 @@
                     and now > run.not_after
                     and run.state != zonetables.RunState.STARTING
                 ):
+                    if server.unresponsive_since is not None:
+                        self._count_loss(run, now)
                     self._handle_run_end(run, zonetables.EndKind.LOST, now)
                 elif run.job is None or run.state in (
                     zonetables.RunState.STOPPING,
@@ -219,6 +225,80 @@
                 elif self._is_stalled(run, now):
                     self._restart_stalled(run, now)
 
+    def record_crash(
+        self, server: zonetables.Server, evidence: str, now: float
+    ) -> None:
+        """Records that a backend server has crashed with its runs.
+
+        They end with their leases all the same, unless the evidence is a later
+        incarnation at the address of the server. A draining server exits as
+        planned.
+        """
+        if server.draining:
+            return
+        if not server.has_crashed:
+            server.has_crashed = True
+            self._log(
+                events.Event.ZONE_SERVER_CRASHED,
+                server=server.id,
+                evidence=evidence,
+                runs=len(server.runs),
+            )
+        for run in list(server.runs.values()):
+            self._count_loss(run, now)
+        self._explain_losses(server, now)
+
+    def record_replacement(self, server: zonetables.Server, now: float) -> None:
+        """Ends the runs of a server whose address has another incarnation."""
+        self.record_crash(server, "replaced", now)
+        for run in list(server.runs.values()):
+            self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
+
+    def _count_loss(self, run: zonetables.Run, now: float) -> None:
+        """Counts the loss of the server of a run, at most once a run."""
+        if run.is_loss_counted or not run.may_have_started:
+            return
+        run.is_loss_counted = True
+        server = run.server
+        if server.draining:
+            return
+        if not server.has_crashed:
+            server.unexplained_losses.append(run.key)
+        counted = self.tables.losses.add(
+            run.key.job_id, run.key.index, server.has_crashed, now
+        )
+        self._apply_losses(run.key, server, counted, now)
+
+    def _explain_losses(self, server: zonetables.Server, now: float) -> None:
+        """Corrects the losses that were counted before the cause was known."""
+        keys, server.unexplained_losses = server.unexplained_losses, []
+        for key in keys:
+            explained = self.tables.losses.explain(
+                key.job_id, key.index, server.has_crashed, now
+            )
+            if server.has_crashed:
+                self._apply_losses(key, server, explained, now)
+
+    def _apply_losses(
+        self,
+        key: zonetables.TaskKey,
+        server: zonetables.Server,
+        counted: losses_lib.TaskLosses,
+        now: float,
+    ) -> None:
+        """Shares the losses of a task and gives it up if they are too many."""
+        self._log(
+            events.Event.ZONE_TASK_LOST,
+            task=key,
+            server=server.id,
+            crashes=counted.crashes,
+            unexplained=counted.unexplained,
+            given_up=int(counted.is_given_up),
+        )
+        self.emit(orders_lib.ShareLosses(key, counted))
+        if counted.is_given_up:
+            self.job_callbacks.give_up_job(key.job_id, now)
+
     def _retry_stop(
         self, server: zonetables.Server, run: zonetables.Run, now: float
     ) -> None:
@@ -276,6 +356,8 @@
         if server.incarnation and poll_result.incarnation != server.incarnation:
             self._handle_restart(server, poll_result, now)
         server.incarnation = poll_result.incarnation
+        server.has_crashed = False
+        self._explain_losses(server, now)
         for row in poll_result.ended:
             self._record_end(server, row, now)
         listed_runs = {
@@ -328,12 +410,13 @@
             was=server.incarnation,
             runs=len(server.runs),
         )
+        self.record_crash(server, "restarted", now)
         server.last_ended_seq = 0
         server.slowness = 1.0
         server.failure_rate = 0.0
         server.runs_listed = False
         for run in list(server.runs.values()):
-            self._handle_run_end(run, zonetables.EndKind.LOST, now)
+            self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
 
     def _record_end(
         self,
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from acacialine import losses as losses_lib
 from acacialine import resources as resources_lib
 
 ENDED_RUNS_RETENTION_S = 5.0  # exceeds the delay of any poll response
@@ -94,7 +95,8 @@
     STOPPED = "stopped"
     LAPSED = "lapsed"  # its lease expired
     BROKEN = "broken"  # reported as "broken" or "alone"
-    LOST = "lost"  # no longer listed, lease expired, or the server restarted
+    LOST = "lost"  # no longer listed, or its lease expired
+    CRASHED = "crashed"  # a later incarnation of the server has its address
 
 
 @attrs.define(eq=False)
@@ -117,6 +119,11 @@
         expected_s: Expected duration on this backend server.
         is_start_known: Whether `sent_at` is when it started. It is not for a
             run that an earlier owner started.
+        may_have_started: Whether the start may have reached the server. Its
+            client says no while the start waits for a connection.
+        is_isolated: Whether no other run may share its server, as its task is
+            suspected of crashing servers.
+        is_loss_counted: Whether the loss of its server has been counted.
     """
 
     key: TaskKey
@@ -135,6 +142,9 @@
     progress_at: float = 0.0
     seen_at: float = 0.0
     is_start_known: bool = True
+    may_have_started: bool = True
+    is_isolated: bool = False
+    is_loss_counted: bool = False
 
     @property
     def id(self) -> tuple[TaskKey, int]:
@@ -180,6 +190,11 @@
         clock_at: When that response arrived.
         lease_until: When the leases of all its runs have certainly expired.
         unclaimed_runs: Number of runs whose demand is unknown.
+        isolated_runs: Number of runs that may not share it.
+        has_crashed: Whether it is known to have crashed since its last
+            response.
+        unexplained_losses: Tasks whose runs were lost since its last response,
+            while it was not known whether it had crashed.
         version: Increases when its capacity or a run changes.
         slot_cache: Slots computed for one version; see `schedule`.
     """
@@ -210,6 +225,9 @@
     clock_at: float = 0.0
     lease_until: float = 0.0
     unclaimed_runs: int = 0
+    isolated_runs: int = 0
+    has_crashed: bool = False
+    unexplained_losses: list[TaskKey] = attrs.field(factory=list)
     version: int = 0
     slot_cache: object = None
 
@@ -347,6 +365,7 @@
             normalized.
         live_runs: Number of runs of each task that may be alive.
         remote_jobs: Jobs that other placers may still run, by id.
+        losses: Runs that were lost with their servers, by job and task.
     """
 
     zone: str
@@ -359,6 +378,7 @@
     slowness_normalized_at: float = 0.0
     live_runs: collections.Counter = attrs.field(factory=collections.Counter)
     remote_jobs: dict[str, RemoteJob] = attrs.field(factory=dict)
+    losses: losses_lib.LossTable = attrs.field(factory=losses_lib.LossTable)
 
     def add_run(self, run: Run) -> None:
         """Adds a run and occupies the capacity that it demands."""
@@ -366,6 +386,7 @@
         server.runs[run.id] = run
         server.occupy(run.demand)
         server.unclaimed_runs += run.is_unclaimed
+        server.isolated_runs += run.is_isolated
         self.live_runs[run.key] += 1
 
     def remove_run(self, run: Run, now: float) -> None:
@@ -375,6 +396,7 @@
             return
         server.release(run.demand)
         server.unclaimed_runs -= run.is_unclaimed
+        server.isolated_runs -= run.is_isolated
         server.recently_ended.pop(run.id, None)
         server.recently_ended[run.id] = now
         self.live_runs[run.key] -= 1
