Property test: no start exceeds a capacity that has shrunk

The platform's new rule on a capacity that changes while its server runs (LIMIT). Servers shrink, also to nothing and below what they run, and grow, while placers succeed each other, messages are lost and links break; a start may use an earlier capacity for 0.8 s only, where the rule allows 4.5 s. The test fails if capacities are not updated, if they only grow, or if what is being stopped does not count.

--- a/acacialine/tests/test_placer_properties.py
+++ b/acacialine/tests/test_placer_properties.py
@@ -146,6 +146,34 @@
         return self
 
 
+class ResizingSimulation(Simulation):
+    """A zone whose backend servers shrink and grow while they run tasks."""
+
+    LIST_INTERVAL_S = 0.3  # between the reads of an owner
+    RESIZE_GRACE_S = 0.8  # two reads and the delays of a start
+    CPUS = (0, 6000, 9000, 16000, 24000)
+
+    def __init__(self, seed, fault_rate):
+        super().__init__(seed, fault_rate)
+        self.server_pool.resize_grace_s = self.RESIZE_GRACE_S
+        self.next_read = {}
+        self.overcommitted_ticks = 0
+
+    def advance(self, seconds):
+        for server in self.server_pool.servers.values():
+            if self.random.random() < 0.01:
+                server.resize(self.random.choice(self.CPUS), self.now)
+            used = sum(run.cpu for run in server.runs.values())
+            self.overcommitted_ticks += used > server.cpu
+        for owner in self.owners:
+            if self.now < owner.paused_until or owner.is_closed:
+                continue
+            if self.now >= self.next_read.get(owner, 0.0):
+                self.next_read[owner] = self.now + self.LIST_INTERVAL_S
+                owner.read_servers(self.now)
+        super().advance(seconds)
+
+
 class PlacerPropertiesTest(unittest.TestCase):
     @hypothesis.settings(max_examples=EXAMPLES, deadline=None, database=None)
     @hypothesis.seed(20261204)
@@ -163,6 +191,22 @@
         )
         self.assertEqual(false_refusals, set())
 
+    @hypothesis.settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @hypothesis.seed(20261204)
+    @hypothesis.given(
+        seed=strategies.integers(0, 2**32),
+        fault_rate=strategies.sampled_from((0.0, 0.02, 0.1)),
+    )
+    def test_no_start_exceeds_a_capacity_that_has_shrunk(
+        self, seed, fault_rate
+    ):
+        simulation = ResizingSimulation(seed, fault_rate).run()
+        self.assertEqual(simulation.server_pool.violations, [])
+
+    def test_capacities_shrink_below_what_runs(self):
+        simulation = ResizingSimulation(1, 0.0).run()
+        self.assertGreater(simulation.overcommitted_ticks, 20)
+
     def test_a_zone_without_faults_answers_all_jobs(self):
         simulation = Simulation(1, 0.0)
         simulation.take_over = lambda: None
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -84,9 +84,14 @@
         self.is_closed = False
         self.next_poll = {}
         self.unreachable_until = {}
+        self.zone = zone
+        self.read_servers(now)
+
+    def read_servers(self, now):
+        """Applies the list of backend servers as they announce themselves."""
         announced = [
-            build.server(s.id, s.cpu, zone=zone)
-            for s in simulation.servers_of(zone)
+            build.server(s.id, s.cpu, zone=self.zone)
+            for s in self.simulation.servers_of(self.zone)
         ]
         self.placer.runs.apply_servers(announced, now)
 
--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -49,6 +49,7 @@
         down_until: When it restarts after a crash.
         crash_at: When a task that it runs crashes it.
         on_crash_due: Called then; by default it is down for a time.
+        earlier_cpus: CPU before each change, with the time of the change.
     """
 
     id: str
@@ -64,6 +65,21 @@
     down_until: float = 0.0
     crash_at: float = math.inf
     on_crash_due: collections.abc.Callable[[], None] | None = None
+    earlier_cpus: list[tuple[float, int]] = attrs.field(factory=list)
+
+    def resize(self, cpu: int, now: float) -> None:
+        """Changes the capacity; what runs goes on."""
+        self.earlier_cpus.append((now, self.cpu))
+        self.cpu = cpu
+
+    def cpu_limit(self, now: float) -> int:
+        """Returns the CPU that starts may occupy.
+
+        After the capacity has shrunk, the earlier one counts for a while.
+        """
+        since = now - self.server_pool.resize_grace_s
+        earlier = [cpu for at, cpu in self.earlier_cpus if at >= since]
+        return max([self.cpu, *earlier])
 
     def is_down(self, now: float) -> bool:
         """Returns whether no process runs at its address."""
@@ -130,7 +146,7 @@
         length_s = self.server_pool.length_s(run.key)
         cpu = self.server_pool.job_cpu[run.key.job_id]
         new_run = FakeRun(run.key, run.number, cpu, now + length_s)
-        self.server_pool.record_start(self, new_run)
+        self.server_pool.record_start(self, new_run, now)
         self.runs[(run.key, run.number)] = new_run
         if run.key in self.server_pool.crashing_tasks:
             self.crash_at = min(self.crash_at, now + CRASH_DELAY_S)
@@ -185,6 +201,8 @@
         failing_jobs: Jobs whose tasks fail.
         crashing_tasks: Tasks that crash each server that starts them.
         down_s: Time in s from a crash until the server restarts.
+        resize_grace_s: Time in s for which an earlier capacity counts after
+            it has shrunk: `contactMs` and a heartbeat on the platform.
         crash_counts: Number of servers that crashed under a task.
         late_start_counts: Number of starts of a task after MAX_CRASHES.
         running_counts: Number of present runs, by task key.
@@ -201,6 +219,7 @@
     failing_jobs: set = attrs.field(factory=set)
     crashing_tasks: set = attrs.field(factory=set)
     down_s: float = 3.0
+    resize_grace_s: float = 4.5
     crash_counts: collections.Counter = attrs.field(factory=collections.Counter)
     late_start_counts: collections.Counter = attrs.field(
         factory=collections.Counter
@@ -218,10 +237,12 @@
         """Returns the duration of a task in seconds."""
         return self.job_length_s.get(key.job_id, 0.1)
 
-    def record_start(self, server: FakeServer, run: FakeRun) -> None:
+    def record_start(
+        self, server: FakeServer, run: FakeRun, now: float
+    ) -> None:
         """Records a start; checks capacity and other runs of the task."""
         used_cpu = sum(r.cpu for r in server.runs.values()) + run.cpu
-        if used_cpu > server.cpu:
+        if used_cpu > server.cpu_limit(now):
             self.violations.append(
                 f"LIMIT {run.key} on {server.id}: {used_cpu}"
             )
