Handed-over jobs wait a lease after the first list of servers

Cause: an entry that starts while its zone is cut off claims the zone without any list of servers, so its servers go on obeying the earlier owner. The wait of handed-over jobs was counted from the claim and was long over when the list came, and the first list lacked servers whose records had lapsed, on which the earlier owner had just started tasks. Change: the wait and the time before which jobs may have unknown runs count from the first list where that comes after the claim; jobs that are open then wait too.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -98,18 +98,22 @@
         admission: Accepts or refuses jobs.
         runs: Runs of this owner and those left by earlier owners.
         owned_since: When this placer became the owner of the servers.
+        obeyed_since: Since when the servers can obey this placer. It is later
+            than `owned_since` if no list of servers was known then.
     """
 
     tables: zonetables.ZoneTables
     admission: zoneadmission.Admission
     owned_since: float
     runs: zoneruns.Runs = attrs.field(init=False)
+    obeyed_since: float = attrs.field(init=False)
     _orders: list[orders_lib.Order] = attrs.field(factory=list)
     _checked_at: float = -1e9
     _expired_at: float = -1e9
 
     def __attrs_post_init__(self):
         self.runs = zoneruns.Runs(self.tables, self, self._emit)
+        self.obeyed_since = self.owned_since
 
     def take_orders(self) -> list[orders_lib.Order]:
         """Returns the orders collected since the last call."""
@@ -224,7 +228,7 @@
                 number = job.next_run_number.get(index, 1)
                 job.next_run_number[index] = max(first_number, number)
             job.hold_until = (
-                self.owned_since + self.runs.lease_times.max_lease_s
+                self.obeyed_since + self.runs.lease_times.max_lease_s
             )
         return job
 
@@ -397,6 +401,23 @@
         self.tables.counters["abandoned"] += 1
         self._end_job(job, None, "deadline", now)
 
+    def record_first_list(self, now: float, unknown_before: float) -> None:
+        """Records that the list of servers was first read after the takeover.
+
+        Until then the earlier owner could go on starting tasks, as no server
+        had heard of this one. It still can on servers that the list lacks
+        because their records lapsed.
+
+        Args:
+            now: When the list was read.
+            unknown_before: See `zoneruns.Runs`.
+        """
+        self.obeyed_since = now
+        self.runs.unknown_before = max(self.runs.unknown_before, unknown_before)
+        for job in self.tables.jobs.values():
+            if job.hold_until:
+                job.hold_until = now + self.runs.lease_times.max_lease_s
+
     def handle_process_pause(self, now: float) -> None:
         """Marks all run lists as outdated after this process was suspended.
 
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -231,6 +231,15 @@
 
     def record_list_read(self, sent_at: float) -> None:
         """Records that the list of servers was read by a request sent then."""
+        first_listed_at = self._dispatcher.store_reader.first_listed_at
+        if first_listed_at > self.placer.obeyed_since:
+            self.placer.record_first_list(
+                first_listed_at,
+                _unknown_before(
+                    self._dispatcher.store_reader,
+                    self.placer.runs.lease_times,
+                ),
+            )
         if sent_at >= self.placer.owned_since:
             self.placer.runs.is_list_current = True
             self.placer.runs.awaits_list = False
@@ -486,16 +495,26 @@
         now - dispatcher.store_reader.servers_read_at
         > dispatcher.store_reader.removal_delay_s
     )
-    placer.runs.unknown_before = (
-        dispatcher.store_reader.server_removed_at
-        + dispatcher.store_reader.removal_delay_s
-        + lease_times.max_lease_s
+    placer.runs.unknown_before = _unknown_before(
+        dispatcher.store_reader, lease_times
     )
     placer.tables.remote_jobs.update(dispatcher.remote_jobs)
     placer.tables.losses = dispatcher.losses
     return PlacerHost(placer, epoch, dispatcher=dispatcher, nursery=nursery)
 
 
+def _unknown_before(store_reader, lease_times: leases.LeaseTimes) -> float:
+    """Returns the time before which jobs may have unknown runs.
+
+    These run on servers that have left the list, or that the first list lacked.
+    """
+    return (
+        store_reader.server_removed_at
+        + store_reader.removal_delay_s
+        + lease_times.max_lease_s
+    )
+
+
 def encode_submission(
     submission: placer_lib.Submission,
 ) -> messages.SubmitJob:
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -44,6 +44,7 @@
             and then read.
         server_removed_at: When a backend server was last removed from the
             list, or the list was first read.
+        first_listed_at: When the list was first read.
     """
 
     _dispatcher: object
@@ -54,6 +55,7 @@
     is_store_down: bool = False
     servers_read_at: float = -1e9
     server_removed_at: float = -1e9
+    first_listed_at: float = -1e9
     _servers: dict[str, zonetables.Server] = attrs.field(factory=dict)
     _pending_removals: dict[str, float] = attrs.field(factory=dict)
     _recovered_at: float = -1e9
@@ -263,7 +265,7 @@
         now = clock.now()
         if not self._servers:
             # Which servers left before is not known.
-            self.server_removed_at = now
+            self.server_removed_at = self.first_listed_at = now
         present = {r.key for r in keyed_records if r.value}
         for record in keyed_records:
             self._apply_server(record)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -405,6 +405,23 @@
         placer.tick(0.12)
         self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
+    def test_a_handed_over_job_waits_a_lease_after_the_first_list(self):
+        # Hunt affab580: an owner that claimed its zone without a list of
+        # servers started the runs of its predecessor again when it got one.
+        for submitted_at in (4.9, 5.1):
+            placer = build.placer()
+            placer.runs.awaits_list = True
+            if submitted_at < 5.0:
+                self.submit(placer, submitted_at, handovers=1, left_s=9.0)
+            placer.record_first_list(5.0, 8.5)
+            placer.runs.awaits_list = False
+            if submitted_at > 5.0:
+                self.submit(placer, submitted_at, handovers=1, left_s=9.0)
+            placer.tick(6.0)
+            self.assertEqual(build.starts(placer.take_orders()), [])
+            placer.tick(6.2)
+            self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
     def test_tasks_listed_as_done_after_the_handover_count_too(self):
         placer = build.placer()
         server = placer.tables.servers["i-1"]
--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -65,6 +65,16 @@
         self.assertEqual(self.poller.client.polls, [])
         self.assertEqual(successor.client.polls, [])
 
+    def test_the_first_list_after_a_takeover_counts_as_such(self):
+        reader = self.host._dispatcher.store_reader
+        reader.removal_delay_s = 2.4
+        for first_listed_at, obeyed_since in ((-5.0, 0.0), (5.0, 5.0)):
+            reader.first_listed_at = first_listed_at
+            reader.server_removed_at = first_listed_at
+            self.host.record_list_read(5.0)
+            self.assertEqual(self.placer.obeyed_since, obeyed_since)
+        self.assertGreater(self.placer.runs.unknown_before, 8.4)
+
     def test_one_poll_is_in_flight_at_a_time(self):
         self.server.runs_listed = False
         for _ in range(3):
