Soak: servers that stay down, change their capacity, crash under a task

Crashed servers of the soak were back at once, so no lease of a dead server ever mattered there, and capacities never changed. Seeds keep their earlier faults; the new ones are drawn apart.

--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -16,6 +16,7 @@
 import trio
 
 from acacialine import clock
+from acacialine import zonetables
 from acacialine.tools import soakplan
 from acacialine.tools import zonecluster
 
@@ -32,6 +33,8 @@
 CUT_OFF_SHARE = 5 / 6
 # Requests sent so shortly before a stopped process exits may be cut off.
 EXIT_CUT_S = 0.2
+CRASHING_SHARE = 0.01  # of jobs with a task that crashes its servers
+RESIZED_CPUS = (0, 7000, 14000, 24000)  # capacities of a resized server
 CLIENT_ABORT_SHARE = 0.05  # of jobs whose client disconnects before the answer
 # What a flaky backend server does with a request, and the weights; see
 # `FakeServerEndpoint.next_request_outcome`.
@@ -157,6 +160,10 @@
         rng = random.Random(job_id)
         count = rng.choice((1, 2, 2, 3))
         length_s = rng.choices((0.05, 0.2, 0.8, 4.0), (60, 30, 8, 2))[0]
+        if random.Random(f"crash-{job_id}").random() < CRASHING_SHARE:
+            self.cluster.fake_servers.crashing_tasks.add(
+                zonetables.TaskKey(job_id, 0, 0, 0)
+            )
         if rng.random() < CLIENT_ABORT_SHARE:
             with trio.move_on_after(length_s * rng.random()):
                 await self.cluster.submit(dispatcher, job_id, count, length_s)
@@ -195,6 +202,8 @@
                 self.cluster.server_routes[fault.target].reset_connections()
             case (
                 FaultKind.SERVER_CRASH
+                | FaultKind.SERVER_DOWN
+                | FaultKind.SERVER_RESIZE
                 | FaultKind.SERVER_DRAIN
                 | FaultKind.SERVER_FLAKY
             ):
@@ -268,6 +277,10 @@
                 server.crash()
                 # The connections of a process end with it.
                 self.cluster.server_routes[fault.target].reset_connections()
+            case FaultKind.SERVER_DOWN:
+                await self.cluster.crash_server(fault.target, fault.duration_s)
+            case FaultKind.SERVER_RESIZE:
+                await self._resize_server(server, fault.duration_s)
             case FaultKind.SERVER_DRAIN:
                 server.state = "draining"
                 server.announce()
@@ -294,6 +307,16 @@
                 await trio.sleep(fault.duration_s)
                 server.next_request_outcome = str
 
+    async def _resize_server(self, server, duration_s: float) -> None:
+        """Changes the capacity of a backend server and changes it back."""
+        fake_server = server.fake_server
+        cpu = fake_server.cpu
+        fake_server.resize(self._random.choice(RESIZED_CPUS), clock.now())
+        server.announce()
+        await trio.sleep(duration_s)
+        fake_server.resize(cpu, clock.now())
+        server.announce()
+
     def _publish_change(self) -> None:
         version = self.cluster.version + 3
         if version > 6:
--- a/acacialine/tools/soakplan.py
+++ b/acacialine/tools/soakplan.py
@@ -27,7 +27,9 @@
     SERVER_CUT = "server_cut"  # bytes are held in both directions
     SERVER_MUTE = "server_mute"  # bytes of replies are held
     SERVER_RESET = "server_reset"  # connections are reset
-    SERVER_CRASH = "server_crash"  # loses its runs and restarts
+    SERVER_CRASH = "server_crash"  # loses its runs and restarts at once
+    SERVER_DOWN = "server_down"  # crashes and refuses connections for a time
+    SERVER_RESIZE = "server_resize"  # has another capacity for the duration
     SERVER_DRAIN = "server_drain"  # announces `draining` for the duration
     SERVER_FLAKY = "server_flaky"  # requests are lost, late or refused
     # Target: the store; see `zonestandin.FakeStore`.
@@ -65,6 +67,9 @@
     FaultKind.STORE_LOSSY,
     FaultKind.STORE_FORGETS,
 )
+# Drawn apart, so that the plans of earlier seeds only gain faults.
+LATER_SERVER_KINDS = (FaultKind.SERVER_DOWN, FaultKind.SERVER_RESIZE)
+LATER_FAULTS_SHARE = 0.25  # of the rate of the others
 SERIES_LENGTH = 3  # faults in a series
 SERIES_INTERVAL_S = 0.8  # between the starts of two faults of a series
 
@@ -120,10 +125,27 @@
             start_at = at + index * SERIES_INTERVAL_S
             faults.append(Fault(start_at, kind, target, rng.uniform(0.2, 3.0)))
         at += rng.expovariate(faults_per_s)
+    faults += _draw_later_faults(
+        seed, seconds, targetable_servers, faults_per_s * LATER_FAULTS_SHARE
+    )
     faults.sort(key=lambda f: f.at)
     return Plan(seed, seconds, tuple(faults))
 
 
+def _draw_later_faults(
+    seed: int, seconds: float, servers: list[str], faults_per_s: float
+) -> list[Fault]:
+    rng = random.Random(f"later-{seed}")
+    faults = []
+    at = rng.expovariate(faults_per_s)
+    while at < seconds:
+        kind = rng.choice(LATER_SERVER_KINDS)
+        target = rng.choice(servers)
+        faults.append(Fault(at, kind, target, rng.uniform(0.2, 3.0)))
+        at += rng.expovariate(faults_per_s)
+    return faults
+
+
 def _draw_fault(
     rng: random.Random, entries: list[str], servers: list[str]
 ) -> tuple[FaultKind, str]:
