Failed runs count when a job is sent again

Cause: the number of failed runs was kept with the open job only, so a job that was sent again after its 504 had all its attempts anew. Change: the record of the ended job keeps it, as it keeps the run numbers. Result: the new test in test_placer fails without it.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -215,6 +215,7 @@
         job.waiting.extend(range(submission.step.count))
         if ended_job:
             job.next_run_number.update(ended_job.next_run_number)
+            job.failures.update(ended_job.failures)
             if ended_job.verdict != zonetables.Verdict.NOT_RUN:
                 # It ran before its clients left, so it can't be refused as
                 # not run.
@@ -354,7 +355,7 @@
             # Removed first, so that the table stays in the order of the ends.
             self.tables.ended_jobs.pop(job.id, None)
             self.tables.ended_jobs[job.id] = zonetables.EndedJob(
-                verdict, reason, job.next_run_number, now
+                verdict, reason, job.next_run_number, now, job.failures
             )
         if verdict is not None and job.origins:
             self._orders.append(
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -320,6 +320,23 @@
         (answer,) = build.answers(new_orders)
         self.assertEqual(answer.verdict, zonetables.Verdict.FAILED)
 
+    def test_failed_runs_count_when_a_job_is_sent_again(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        kind = zonetables.EndKind.FAILED
+        row = orders.EndedRow(1, run.key, run.number, kind)
+        (retried,) = build.starts(self.poll(placer, run.server, 0.1, (), [row]))
+        self.confirm(placer, [retried], 0.11)
+        placer.cancel(run.key.job_id, "dispatcher", "deadline", 0.2)
+        self.poll(placer, retried.server, 0.3)
+        (again,) = build.starts(self.submit(placer, 0.4, step=build.step(1)))
+        self.confirm(placer, [again], 0.41)
+        row = orders.EndedRow(2, again.key, again.number, kind)
+        new_orders = self.poll(placer, again.server, 0.5, (), [row])
+        (answer,) = build.answers(new_orders)
+        self.assertIs(answer.verdict, zonetables.Verdict.FAILED)
+
     def test_a_restarted_server_frees_the_capacity_of_its_earlier_runs(self):
         placer = build.placer()
         runs = build.starts(self.submit(placer))
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -326,12 +326,14 @@
     Attributes:
         verdict: The answer; None if none was sent.
         next_run_number: Lowest unused run number of each task, by index.
+        failures: Number of failed runs of each task, by index.
     """
 
     verdict: Verdict | None
     reason: str
     next_run_number: dict[int, int]
     ended_at: float
+    failures: dict[int, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
