Forecast: the first ends on a shrunken server free no slot

Cause: a server whose capacity has shrunk below what it runs counted its earliest ends as free slots, so jobs were accepted that would end late. Change: the ends that only bring it back within its capacity are skipped. Result: the new test in test_schedule fails without it; the rest of test_schedule agrees as before.

--- a/acacialine/schedule.py
+++ b/acacialine/schedule.py
@@ -86,9 +86,7 @@
             ends = slots.ends
             if ends and ends[0] <= now:
                 # Overdue runs end later than expected.
-                ends = sorted(
-                    expected_end(run, now) for run in server.runs.values()
-                )
+                ends = _slot_ends(server, lambda run: expected_end(run, now))
             for end in ends[: slots.busy_count]:
                 free_times.append(end if end > available_at else available_at)
     return free_times
@@ -102,7 +100,8 @@
         version: Version of the server for which they were computed.
         free_count: Number of free slots.
         busy_count: Number of slots that become free at the end of runs.
-        ends: Expected ends of the runs, earliest first, if none is overdue.
+        ends: Expected ends of the runs that free slots, earliest first, if
+            none is overdue.
     """
 
     version: int
@@ -121,10 +120,28 @@
         free_count = 0
     ends = []
     if free_count < count:
-        ends = sorted(map(_undelayed_end, server.runs.values()))
+        ends = _slot_ends(server, _undelayed_end)
     return _Slots(server.version, demand, free_count, count - free_count, ends)
 
 
+def _slot_ends(
+    server: zonetables.Server,
+    run_end: collections.abc.Callable[[zonetables.Run], float],
+) -> list[float]:
+    """Returns when the runs of a server end that free slots, earliest first.
+
+    If the capacity has shrunk below what is used, the first ends only bring the
+    server back within it.
+    """
+    runs = sorted(server.runs.values(), key=run_end)
+    free = server.free
+    skipped = 0
+    while not resources_lib.NO_RESOURCES.fits(free) and skipped < len(runs):
+        free = free + runs[skipped].demand
+        skipped += 1
+    return [run_end(run) for run in runs[skipped:]]
+
+
 def _undelayed_end(run: zonetables.Run) -> float:
     """Returns when a run is expected to end if it is not overdue."""
     return (run.confirmed_at or run.sent_at) + run.expected_s
--- a/acacialine/tests/test_schedule.py
+++ b/acacialine/tests/test_schedule.py
@@ -10,6 +10,7 @@
 from acacialine import serverhealth
 from acacialine.tests import support
 from acacialine.tests import test_placer_properties
+from acacialine.tests import zonebuilders as build
 
 DEMANDS = (resources.Resources(5000, 64), resources.Resources(7000, 64))
 SERVICE = "closure-desk"
@@ -68,5 +69,24 @@
         CheckedSimulation(seed, fault_rate).run()
 
 
+class ShrunkenServerTest(unittest.TestCase):
+    def test_the_first_ends_on_a_shrunken_server_free_no_slot(self):
+        placer = build.placer(build.server(cpu=21000))
+        job = build.submission(step=build.step(3), left_s=9.0)
+        placer.submit(job, "dispatcher", 0.0)
+        placer.tick(0.0)
+        runs = build.starts(placer.take_orders())
+        for number, run in enumerate(runs, 1):
+            run.expected_s = 0.1 * number
+        server = runs[0].server
+        for cpu, slots in ((21000, (0.1, 0.2, 0.3)), (14000, (0.2, 0.3))):
+            server.resize(resources.Resources(cpu, 32768))
+            free_times = schedule.slot_free_times(
+                placer.tables, SERVICE, build.step().demand, "", 0.01
+            )
+            for free_at, expected in zip(free_times, slots, strict=True):
+                self.assertAlmostEqual(free_at, expected)
+
+
 if __name__ == "__main__":
     unittest.main()
