Waiting jobs that no server can take any more are refused at once

Cause: when all servers of a zone shrank below a job's tasks, or left, a job that waited for a place stayed until it was late; only arriving jobs were checked. Change: each new list of servers is checked against the jobs that have not started; another zone gets them, or their client a refusal that is true.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -388,6 +388,15 @@
         self.tables.counters[f"failed.{reason}"] += 1
         self._end_job(job, zonetables.Verdict.FAILED, reason, now)
 
+    def refuse_unservable_jobs(self, now: float) -> None:
+        """Refuses the jobs that no listed server can take any more.
+
+        Another zone may still take them.
+        """
+        for job in list(self.tables.jobs.values()):
+            if not job.possible_starts and not self.admission.is_servable(job):
+                self._fail_job(job, "unservable", now)
+
     def give_up_job(self, job_id: str, now: float) -> None:
         """See `zoneruns.JobCallbacks`."""
         job = self.tables.jobs.get(job_id)
@@ -649,7 +658,7 @@
         """Returns whether another server may run the tasks of a job."""
         return any(
             s is not avoided
-            and _may_ever_run(s, job)
+            and zoneadmission.may_ever_run(s, job)
             and self._accepts_tasks(s, now)
             for s in self.tables.servers.values()
         )
@@ -792,16 +801,6 @@
     )
 
 
-def _may_ever_run(server: zonetables.Server, job: zonetables.Job) -> bool:
-    """Returns whether an idle backend server could run the tasks of a job."""
-    step = job.step
-    return (
-        server.service == job.queue.service
-        and step.demand.fits(server.capacity)
-        and (not step.label or step.label in server.labels)
-    )
-
-
 def new_placer(
     zone: str,
     late_share: float,
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -213,6 +213,7 @@
             self._dispatcher.zone
         )
         self.placer.runs.apply_servers(announced, now)
+        self.placer.refuse_unservable_jobs(now)
         servers = self.placer.tables.servers
         for server_id, server in servers.items():
             poller = self._pollers.get(server_id)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -184,6 +184,19 @@
         self.assertEqual(answer.reason, "unservable")
         self.assertGreaterEqual(answer.retry_after_s, 1)
 
+    def test_a_waiting_job_that_no_server_can_take_any_more_is_refused(self):
+        placer = build.placer()
+        started = build.starts(self.submit(placer))
+        waiting_id = "00000000000000bb"
+        self.submit(placer, 0.01, job_id=waiting_id)
+        placer.runs.apply_servers([build.server(cpu=6000)], 0.02)
+        placer.refuse_unservable_jobs(0.02)
+        (answer,) = build.answers(placer.take_orders())
+        self.assertEqual(answer.job_id, waiting_id)
+        self.assertIs(answer.verdict, zonetables.Verdict.NOT_RUN)
+        self.assertEqual(answer.reason, "unservable")
+        self.assertIn(started[0].key.job_id, placer.tables.jobs)
+
     def test_a_resubmitted_job_attaches_to_the_running_one(self):
         placer = build.placer()
         runs = build.starts(self.submit(placer))
--- a/acacialine/zoneadmission.py
+++ b/acacialine/zoneadmission.py
@@ -34,22 +34,11 @@
         self, job: zonetables.Job, is_spilled: bool, now: float
     ) -> "Decision":
         """Returns whether a job is accepted, with the forecast for it."""
-        step = job.step
-        is_servable = False
-        are_runs_listed = True
-        for server in self.tables.servers.values():
-            if (
-                server.is_in_store
-                and server.service == job.queue.service
-                and step.demand.fits(server.capacity)
-                and (not step.label or step.label in server.labels)
-            ):
-                is_servable = True
-                are_runs_listed = are_runs_listed and server.runs_listed
+        servers = self._servers_for(job)
         forecast = schedule.new_forecast(self.tables, job, now)
-        if not is_servable:
+        if not servers:
             return Decision("unservable", forecast)
-        if not are_runs_listed:
+        if not all(server.runs_listed for server in servers):
             # Free capacity is unknown right after a takeover.
             return Decision("", forecast)
         if job.deadline_at - now < job.estimate_s:
@@ -58,6 +47,17 @@
         reason = self._refusal_reason(job, forecast, is_spilled)
         return Decision(reason, forecast)
 
+    def is_servable(self, job: zonetables.Job) -> bool:
+        """Returns whether a listed server could run the tasks of a job."""
+        return bool(self._servers_for(job))
+
+    def _servers_for(self, job: zonetables.Job) -> list[zonetables.Server]:
+        return [
+            server
+            for server in self.tables.servers.values()
+            if server.is_in_store and may_ever_run(server, job)
+        ]
+
     def _refusal_reason(
         self,
         job: zonetables.Job,
@@ -97,6 +97,16 @@
         return job.objective_at + accepted_share * objective_s
 
 
+def may_ever_run(server: zonetables.Server, job: zonetables.Job) -> bool:
+    """Returns whether an idle backend server could run the tasks of a job."""
+    step = job.step
+    return (
+        server.service == job.queue.service
+        and step.demand.fits(server.capacity)
+        and (not step.label or step.label in server.labels)
+    )
+
+
 @attrs.frozen
 class Decision:
     """The decision about one job.
