A job whose placer was lost is known to all zones until its runs have ended

Callers: a job that was sent again after a 504, or after its client had left, could run a second time beside its first run (TWICE). Cause: a request that expired while it had no placer, or whose cancellation was lost with its placer, was forgotten; only jobs with a placer were kept and announced. The zone that got the job next took it for a new one. Change: the intake keeps such jobs until the leases of the lost placer have ended, tells every placer, also later ones, and hands them over as started when they come again.

--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -29,6 +29,8 @@
 # All placers must have confirmed a kept job by then, else it is cancelled. With
 # the longest lease this ends before a client sends its job again.
 KEEP_CONFIRM_TIMEOUT_S = 0.2
+# A cancellation is lost if its placer is lost within this time.
+CANCEL_SETTLED_S = 1.0
 
 
 class AnswerKind(enum.Enum):
@@ -119,6 +121,27 @@
     until: float
 
 
+@attrs.frozen
+class CancelledJob:
+    """A job whose cancellation was sent to its placer a short time ago."""
+
+    placer: PlacerInfo
+    cancelled_at: float
+
+
+@attrs.frozen
+class UnsettledJob:
+    """A job without a request whose runs may continue, as its placer was lost.
+
+    Attributes:
+        zone: The zone of that placer.
+        lost_at: When it was lost.
+    """
+
+    zone: str
+    lost_at: float
+
+
 @attrs.frozen
 class HandOverJob:
     """Order to send a job to a placer."""
@@ -184,6 +207,8 @@
     lease_times: leases.LeaseTimes = attrs.field(factory=leases.LeaseTimes)
     _orders: list = attrs.field(factory=list)
     _kept_jobs: dict[str, KeptJob] = attrs.field(factory=dict)
+    _cancelled_jobs: dict[str, CancelledJob] = attrs.field(factory=dict)
+    _unsettled_jobs: dict[str, UnsettledJob] = attrs.field(factory=dict)
     _spilled_tasks: dict[str, int] = attrs.field(factory=dict)
 
     @property
@@ -215,14 +240,19 @@
             self._log(events.Event.REQUEST_JOINED, job=submission.job_id)
             return
         deadline_at = now + submission.left_s - DEADLINE_MARGIN_S
-        self.requests[submission.job_id] = Request(
-            submission, now, deadline_at, [notify]
-        )
+        request = Request(submission, now, deadline_at, [notify])
+        self.requests[submission.job_id] = request
+        unsettled = self._unsettled_jobs.pop(submission.job_id, None)
+        if unsettled is not None:
+            request.handovers = 1
+            request.placer_lost_at = unsettled.lost_at
+            request.placer_lost_zone = unsettled.zone
 
     def remove_client(
         self,
         job_id: str,
         notify: collections.abc.Callable[[Answer], None],
+        now: float,
     ) -> None:
         """Removes a client that left; cancels its job if no other waits."""
         request = self.requests.get(job_id)
@@ -230,7 +260,8 @@
             return
         request.callbacks.remove(notify)
         if not request.callbacks:
-            self._cancel_at_placer(request, "caller left")
+            self._cancel_at_placer(request, "caller left", now)
+            self._record_if_unsettled(request)
             self._announce_spilled_job(request)
             self._log(events.Event.REQUEST_ABANDONED, job=job_id)
             del self.requests[job_id]
@@ -251,12 +282,12 @@
             )
         )
 
-    def cancel(self, job_id: str) -> bool:
+    def cancel(self, job_id: str, now: float) -> bool:
         """Cancels a job; returns whether it was known."""
         request = self.requests.get(job_id)
         if request is None:
             return False
-        self._cancel_at_placer(request, "cancelled")
+        self._cancel_at_placer(request, "cancelled", now)
         kind = AnswerKind.FAILED
         if request.placer is None and not request.handovers:
             kind = AnswerKind.NOT_RUN
@@ -276,6 +307,7 @@
                 continue
             if not _is_same_placer(assigned, placers.get(assigned.zone)):
                 self._record_placer_loss(request, now)
+        self._update_unsettled_jobs(placers, now)
         # A newer report of a zone already counts the tasks spilled there.
         self._spilled_tasks = {
             zone: count
@@ -286,6 +318,46 @@
         }
         self.placers = placers
 
+    def _update_unsettled_jobs(
+        self, placers: dict[str, PlacerInfo], now: float
+    ) -> None:
+        """Tells new placers of the unsettled jobs, and drops settled ones."""
+        for job_id, cancelled in list(self._cancelled_jobs.items()):
+            placer = cancelled.placer
+            if now - cancelled.cancelled_at > CANCEL_SETTLED_S:
+                del self._cancelled_jobs[job_id]
+            elif not _is_same_placer(placer, placers.get(placer.zone)):
+                del self._cancelled_jobs[job_id]
+                self._record_unsettled(job_id, placer.zone, now)
+        for job_id, unsettled in list(self._unsettled_jobs.items()):
+            if now - unsettled.lost_at > self.lease_times.lost_owner_s:
+                del self._unsettled_jobs[job_id]
+        for zone, placer in placers.items():
+            if _is_same_placer(placer, self.placers.get(zone)):
+                continue
+            for job_id, unsettled in self._unsettled_jobs.items():
+                self._orders.append(
+                    AnnounceKeptJob(placer.peer_id, job_id, unsettled.zone)
+                )
+
+    def _record_if_unsettled(self, request: Request) -> None:
+        """Records the job of an ended request that no placer has."""
+        if request.placer is None and request.placer_lost_at is not None:
+            self._record_unsettled(
+                request.submission.job_id,
+                request.placer_lost_zone,
+                request.placer_lost_at,
+            )
+
+    def _record_unsettled(self, job_id: str, zone: str, lost_at: float) -> None:
+        """Tells all placers where runs of a job may continue.
+
+        Its client may send it again to any of them.
+        """
+        self._unsettled_jobs[job_id] = UnsettledJob(zone, lost_at)
+        for placer in self.placers.values():
+            self._orders.append(AnnounceKeptJob(placer.peer_id, job_id, zone))
+
     def _record_placer_loss(self, request: Request, now: float) -> None:
         """Separates a request from a placer that may have started its tasks."""
         lost = request.placer
@@ -337,9 +409,10 @@
         """
         assigned = request.placer
         if assigned is None:
+            self._record_if_unsettled(request)
             return
         if not self.zones or not self.zones <= self.placers.keys():
-            self._cancel_at_placer(request, "deadline")
+            self._cancel_at_placer(request, "deadline", now)
             return
         job_id = request.submission.job_id
         self._orders.append(KeepJob(assigned.peer_id, job_id))
@@ -524,8 +597,13 @@
                 best, best_free_slots = placer, free_slots
         return best
 
-    def _cancel_at_placer(self, request: Request, reason: str) -> None:
+    def _cancel_at_placer(
+        self, request: Request, reason: str, now: float
+    ) -> None:
         if request.placer is not None:
+            self._cancelled_jobs[request.submission.job_id] = CancelledJob(
+                request.placer, now
+            )
             self._orders.append(
                 CancelJob(
                     request.placer.peer_id, request.submission.job_id, reason
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -164,7 +164,9 @@
         elif request.method == "POST":
             self._submit(exchange, job_id, route)
         elif request.method == "DELETE":
-            was_open = self._dispatcher.intake.cancel(job_id)
+            was_open = self._dispatcher.intake.cancel(
+                job_id, self._dispatcher.now()
+            )
             self._dispatcher.wake()
             self._reply(exchange, 200 if was_open else 410)
         elif request.method == "GET":
@@ -204,7 +206,7 @@
             self._reply_answer(exchange, submission, answer, received_at)
 
         def remove_client() -> None:
-            open_requests.remove_client(job_id, notify)
+            open_requests.remove_client(job_id, notify, self._dispatcher.now())
             self._dispatcher.wake()
 
         exchange.on_disconnect = remove_client
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -212,12 +212,44 @@
         self.intake.receive(build.submission(), notify, 0.0)
         self.tick(0.0)
         self.receive_verdict("p1", "not_run", "overloaded")
-        self.intake.remove_client(JOB, notify)
+        self.intake.remove_client(JOB, notify, 0.0)
         self.assertIn(
             intake_lib.AnnounceKeptJob("p1", JOB, "zone-b"),
             self.intake.take_orders(),
         )
 
+    def announced(self, now):
+        self.intake.tick(now)
+        return self.take_orders(intake_lib.AnnounceKeptJob)
+
+    def test_all_placers_learn_of_a_job_that_expired_without_one(self):
+        # Property test of lost runs, seed 4: the placer was lost, the job was
+        # answered 504 and ran a second time in the zone it was sent to next.
+        self.set_placers(0.0, placer(), placer("p2", "zone-b"))
+        self.receive(left_s=1.0)
+        self.set_placers(0.5, placer("p2", "zone-b"))
+        expected = intake_lib.AnnounceKeptJob("p2", JOB, "zone-a")
+        self.assertEqual(self.announced(1.0), [expected])
+        self.set_placers(1.2, placer("p3", epoch=2), placer("p2", "zone-b"))
+        expected = intake_lib.AnnounceKeptJob("p3", JOB, "zone-a")
+        self.assertEqual(self.announced(1.2), [expected])
+        (order,) = self.receive(1.3)
+        self.assertEqual(order.placer.peer_id, "p3")
+        self.assertEqual(order.submission.handovers, 1)
+
+    def test_all_placers_learn_of_a_cancellation_that_may_be_lost(self):
+        # Property test of kept jobs, seed 7932.
+        for lost_at, is_announced in ((0.5, True), (1.5, False)):
+            self.setUp()
+            self.set_placers(0.0, placer(), placer("p2", "zone-b"))
+            notify = self.answers.append
+            self.intake.receive(build.submission(), notify, 0.0)
+            self.tick(0.0)
+            self.intake.remove_client(JOB, notify, 0.1)
+            self.set_placers(lost_at, placer("p2", "zone-b"))
+            announced = self.announced(lost_at)
+            self.assertEqual(bool(announced), is_announced)
+
     def cancel_orders(self, now):
         self.intake.tick(now)
         return self.take_orders(intake_lib.CancelJob)
@@ -250,7 +282,7 @@
         self.receive()
         other = []
         self.intake.receive(build.submission(), other.append, 0.1)
-        self.intake.remove_client(JOB, self.answers.append)
+        self.intake.remove_client(JOB, self.answers.append, 0.1)
         self.assertEqual(self.take_orders(intake_lib.CancelJob), [])
 
 
@@ -264,7 +296,7 @@
 
         intake.receive(build.submission(), notify, 0.0)
         intake.tick(0.0)
-        intake.remove_client(JOB, notify)
+        intake.remove_client(JOB, notify, 0.0)
         orders = intake.take_orders()
         self.assertEqual(
             [o.peer_id for o in orders if isinstance(o, intake_lib.CancelJob)],
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -289,7 +289,7 @@
     def leave(self, intake, job, notify, tries):
         request = intake.requests.get(job.job_id)
         if request is not None and notify in request.callbacks:
-            intake.remove_client(job.job_id, notify)
+            intake.remove_client(job.job_id, notify, self.now)
             self.refusals.setdefault(job.job_id, []).append(False)
             self.send_again(job, tries)
 
@@ -354,7 +354,14 @@
         # 115: a word that a zone keeps a job was lost with its link, and a
         # successor there started the job; the others: a successor did not
         # know the jobs that its predecessor had kept.
-        for seed, fault_rate in ((115, 0.05), (2, 0.0), (41, 0.05), (116, 0)):
+        # 7932: a client left, its cancellation was lost with the placer.
+        for seed, fault_rate in (
+            (115, 0.05),
+            (2, 0.0),
+            (41, 0.05),
+            (116, 0),
+            (7932, 0.0),
+        ):
             simulation = Simulation(seed, fault_rate).run()
             self.assertEqual(simulation.server_pool.violations, [])
 
--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -273,6 +273,10 @@
         simulation = Simulation(seed, fault_rate).run()
         self.assertEqual(simulation.server_pool.violations, [])
 
+    def test_seeds_that_failed(self):
+        # 4: a job was answered 504 while it had no placer, and ran twice.
+        self.assertEqual(Simulation(4, 0.0).run().server_pool.violations, [])
+
     def test_only_tasks_that_crash_servers_are_given_up(self):
         simulation = Simulation(3, 0.0)
         simulation.take_over = lambda zone: None
