--- a/acacialine/explain.py
+++ b/acacialine/explain.py
@@ -26,6 +26,7 @@
     "zone_run_doubtful": "a start request to {server} was not answered",
     "zone_run_not_started": "{server} refused a start ({outcome})",
     "zone_run_ended": "a run on {server} ended {how}",
+    "zone_task_lost": "{server} was lost under it ({crashes} crashes so far)",
     "request_target_lost": "placer {placer} was lost",
     "request_redirected": "zone {zone} still ran it from an earlier attempt",
     "zone_job_kept": "it kept running after its deadline",
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -13,25 +13,23 @@
 from acacialine.tools import ports
 
 
-class FailedPollTest(unittest.TestCase):
-    def poll(self, server):
-        """Polls a backend server; returns what its client observed."""
-        observer = build.ServerObserver()
+async def poll(server):
+    """Polls a backend server; returns the error that ended the poll."""
+    observer = build.ServerObserver()
+    async with trio.open_nursery() as nursery:
+        client = serverclient.ServerClient(
+            server, 1, 1.0, observer, httppool.Deadlines(), nursery
+        )
+        client.poll(0.0)
+        with trio.fail_after(5):
+            while not observer.poll_errors:
+                await trio.sleep(0.005)
+        client.close()
+    (error,) = observer.poll_errors
+    return error
 
-        async def scenario():
-            async with trio.open_nursery() as nursery:
-                client = serverclient.ServerClient(
-                    server, 1, 1.0, observer, httppool.Deadlines(), nursery
-                )
-                client.poll(0.0)
-                with trio.fail_after(5):
-                    while not observer.poll_errors:
-                        await trio.sleep(0.005)
-                client.close()
-
-        support.run(scenario)
-        return observer
 
+class FailedPollTest(unittest.TestCase):
     def test_a_poll_that_was_not_sent_extends_no_lease(self):
         (unused_port,) = ports.reserve(1)
         placer = build.placer(build.server(address=("127.0.0.1", unused_port)))
@@ -41,10 +39,13 @@
         placer.submit(build.submission(), "entry", now)
         placer.tick(now)
         server.lease_until = now + 0.5
-        observer = self.poll(server)
-        self.assertEqual(server.lease_until, now + 0.5)
-        (error,) = observer.poll_errors
-        self.assertIsInstance(error, serverclient.RefusedError)
+
+        async def scenario():
+            error = await poll(server)
+            self.assertEqual(server.lease_until, now + 0.5)
+            self.assertIsInstance(error, serverclient.RefusedError)
+
+        support.run(scenario)
 
     def test_status_421_tells_that_a_server_was_replaced(self):
         async def answer(stream):
@@ -54,22 +55,13 @@
             )
 
         async def scenario():
-            observer = build.ServerObserver()
             async with trio.open_nursery() as nursery:
                 listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                address = listeners[0].socket.getsockname()
                 nursery.start_soon(trio.serve_listeners, answer, listeners)
-                server = build.server(address=listeners[0].socket.getsockname())
-                client = serverclient.ServerClient(
-                    server, 1, 1.0, observer, httppool.Deadlines(), nursery
-                )
-                client.poll(0.0)
-                with trio.fail_after(5):
-                    while not observer.poll_errors:
-                        await trio.sleep(0.005)
-                client.close()
+                error = await poll(build.server(address=address))
+                self.assertIsInstance(error, serverclient.ReplacedError)
                 nursery.cancel_scope.cancel()
-            (error,) = observer.poll_errors
-            self.assertIsInstance(error, serverclient.ReplacedError)
 
         support.run(scenario)
 
