Losses of a server that answers again as the same incarnation are taken back

A cut may refuse connections too; until now such a server counted as crashed for good under the tasks that it ran, and two such cuts gave a task up. Its losses are kept until its next response: the same incarnation takes them back, a restart proves them.

--- a/acacialine/losses.py
+++ b/acacialine/losses.py
@@ -89,20 +89,25 @@
             counted = attrs.evolve(known, unexplained=known.unexplained + 1)
         return self._replace(job_id, index, counted, now)
 
-    def explain(
-        self, job_id: str, index: int, is_crash: bool, now: float
-    ) -> TaskLosses:
-        """Counts an unexplained loss as a crash, or no longer at all.
-
-        Returns:
-            The losses of the task.
-        """
+    def confirm_crash(self, job_id: str, index: int, now: float) -> TaskLosses:
+        """Counts an unexplained loss as a crash; returns the losses."""
         known = self.get(job_id, index)
-        if not known.unexplained:
-            return known
-        explained = TaskLosses(known.crashes + is_crash, known.unexplained - 1)
+        explained = TaskLosses(known.crashes + 1, max(0, known.unexplained - 1))
         return self._replace(job_id, index, explained, now)
 
+    def retract(
+        self, job_id: str, index: int, is_crash: bool, now: float
+    ) -> None:
+        """Counts a loss no longer, as the server has not crashed."""
+        known = self.get(job_id, index)
+        if is_crash:
+            left = attrs.evolve(known, crashes=max(0, known.crashes - 1))
+        else:
+            left = attrs.evolve(
+                known, unexplained=max(0, known.unexplained - 1)
+            )
+        self._replace(job_id, index, left, now)
+
     def merge(
         self, job_id: str, index: int, losses: TaskLosses, now: float
     ) -> None:
--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -185,6 +185,20 @@
         placer.runs.apply_poll(run.server, result, 1.3, 1.3)
         self.assertEqual(losses.get(*key), losses_lib.NO_LOSSES)
 
+    def test_a_server_that_refused_and_returns_has_not_crashed(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=9.0)
+        self.crash(placer, run.server, 0.1)
+        losses = placer.tables.losses
+        self.assertTrue(losses.is_suspect(run.key.job_id, run.key.index))
+        row = orders.RunningRow(run.key, run.number, 50)
+        result = orders.PollResult(1, 1000, (row,), ())
+        placer.runs.apply_poll(run.server, result, 0.4, 0.4)
+        self.assertFalse(losses.is_suspect(run.key.job_id, run.key.index))
+        # A later loss of the same run counts again.
+        self.crash(placer, run.server, 0.6)
+        self.assertTrue(losses.is_suspect(run.key.job_id, run.key.index))
+
     def test_a_silent_server_that_restarted_has_crashed(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=9.0)
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -244,9 +244,13 @@
                 evidence=evidence,
                 runs=len(server.runs),
             )
+            for key in server.lost_tasks:
+                counted = self.tables.losses.confirm_crash(
+                    key.job_id, key.index, now
+                )
+                self._apply_losses(key, server, counted, now)
         for run in list(server.runs.values()):
             self._count_loss(run, now)
-        self._explain_losses(server, now)
 
     def record_replacement(self, server: zonetables.Server, now: float) -> None:
         """Ends the runs of a server whose address has another incarnation."""
@@ -262,22 +266,26 @@
         server = run.server
         if server.draining:
             return
-        if not server.has_crashed:
-            server.unexplained_losses.append(run.key)
+        server.lost_tasks.append(run.key)
         counted = self.tables.losses.add(
             run.key.job_id, run.key.index, server.has_crashed, now
         )
         self._apply_losses(run.key, server, counted, now)
 
-    def _explain_losses(self, server: zonetables.Server, now: float) -> None:
-        """Corrects the losses that were counted before the cause was known."""
-        keys, server.unexplained_losses = server.unexplained_losses, []
-        for key in keys:
-            explained = self.tables.losses.explain(
+    def _retract_losses(self, server: zonetables.Server, now: float) -> None:
+        """Takes back the losses of a server that responds again.
+
+        Its incarnation is the same, so it has not crashed: the path to it was
+        cut. Losses that a restart proves have been taken from the list.
+        """
+        for key in server.lost_tasks:
+            self.tables.losses.retract(
                 key.job_id, key.index, server.has_crashed, now
             )
-            if server.has_crashed:
-                self._apply_losses(key, server, explained, now)
+        server.lost_tasks.clear()
+        server.has_crashed = False
+        for run in server.runs.values():
+            run.is_loss_counted = False
 
     def _apply_losses(
         self,
@@ -356,8 +364,7 @@
         if server.incarnation and poll_result.incarnation != server.incarnation:
             self._handle_restart(server, poll_result, now)
         server.incarnation = poll_result.incarnation
-        server.has_crashed = False
-        self._explain_losses(server, now)
+        self._retract_losses(server, now)
         for row in poll_result.ended:
             self._record_end(server, row, now)
         listed_runs = {
@@ -411,6 +418,7 @@
             runs=len(server.runs),
         )
         self.record_crash(server, "restarted", now)
+        server.lost_tasks.clear()
         server.last_ended_seq = 0
         server.slowness = 1.0
         server.failure_rate = 0.0
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -193,8 +193,8 @@
         isolated_runs: Number of runs that may not share it.
         has_crashed: Whether it is known to have crashed since its last
             response.
-        unexplained_losses: Tasks whose runs were lost since its last response,
-            while it was not known whether it had crashed.
+        lost_tasks: Tasks whose losses were counted since its last response, as
+            crashes if it is known to have crashed.
         version: Increases when its capacity or a run changes.
         slot_cache: Slots computed for one version; see `schedule`.
     """
@@ -227,7 +227,7 @@
     unclaimed_runs: int = 0
     isolated_runs: int = 0
     has_crashed: bool = False
-    unexplained_losses: list[TaskKey] = attrs.field(factory=list)
+    lost_tasks: list[TaskKey] = attrs.field(factory=list)
     version: int = 0
     slot_cache: object = None
 
