--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -278,6 +278,8 @@
         Its incarnation is the same, so it has not crashed: the path to it was
         cut. Losses that a restart proves have been taken from the list.
         """
+        if not server.lost_tasks and not server.has_crashed:
+            return
         for key in server.lost_tasks:
             self.tables.losses.retract(
                 key.job_id, key.index, server.has_crashed, now
