--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -411,19 +411,13 @@
         self.tables.counters["abandoned"] += 1
         self._end_job(job, None, "deadline", now)
 
-    def record_first_list(self, now: float, unknown_before: float) -> None:
+    def record_first_list(self, now: float) -> None:
         """Records that the list of servers was first read after the takeover.
 
         Until then the earlier owner could go on starting tasks, as no server
-        had heard of this one. It still can on servers that the list lacks
-        because their records lapsed.
-
-        Args:
-            now: When the list was read.
-            unknown_before: See `zoneruns.Runs`.
+        had heard of this one.
         """
         self.obeyed_since = now
-        self.runs.unknown_before = max(self.runs.unknown_before, unknown_before)
         for job in self.tables.jobs.values():
             if job.hold_until:
                 job.hold_until = now + self.runs.lease_times.max_lease_s
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -232,15 +232,15 @@
 
     def record_list_read(self, sent_at: float) -> None:
         """Records that the list of servers was read by a request sent then."""
-        first_listed_at = self._dispatcher.store_reader.first_listed_at
-        if first_listed_at > self.placer.obeyed_since:
-            self.placer.record_first_list(
-                first_listed_at,
-                _unknown_before(
-                    self._dispatcher.store_reader,
-                    self.placer.runs.lease_times,
-                ),
-            )
+        reader = self._dispatcher.store_reader
+        runs = self.placer.runs
+        # The list may have lost a server on which the earlier owner started
+        # tasks a moment before.
+        runs.unknown_before = max(
+            runs.unknown_before, _unknown_before(reader, runs.lease_times)
+        )
+        if reader.first_listed_at > self.placer.obeyed_since:
+            self.placer.record_first_list(reader.first_listed_at)
         if sent_at >= self.placer.owned_since:
             self.placer.runs.is_list_current = True
             self.placer.runs.awaits_list = False
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -443,7 +443,8 @@
             placer.runs.awaits_list = True
             if submitted_at < 5.0:
                 self.submit(placer, submitted_at, handovers=1, left_s=9.0)
-            placer.record_first_list(5.0, 8.5)
+            placer.record_first_list(5.0)
+            placer.runs.unknown_before = 8.5
             placer.runs.awaits_list = False
             if submitted_at > 5.0:
                 self.submit(placer, submitted_at, handovers=1, left_s=9.0)
--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -75,6 +75,19 @@
             self.assertEqual(self.placer.obeyed_since, obeyed_since)
         self.assertGreater(self.placer.runs.unknown_before, 8.4)
 
+    def test_a_server_lost_from_the_list_after_a_takeover_has_unknown_runs(
+        self,
+    ):
+        # Suspected in hunt ab7c9c96: the successor of a stopped placer started
+        # a task beside the run on a server whose record had lapsed.
+        reader = self.host._dispatcher.store_reader
+        reader.removal_delay_s = 2.4
+        reader.first_listed_at = -9.0
+        for removed_at in (-9.0, 0.3):
+            reader.server_removed_at = removed_at
+            self.host.record_list_read(0.4)
+        self.assertGreater(self.placer.runs.unknown_before, 0.3)
+
     def test_one_poll_is_in_flight_at_a_time(self):
         self.server.runs_listed = False
         for _ in range(3):
