Log: runs that go on without a job, jobs that another zone may run

E816 tells of a run that has had no job for 0.1 s (its state, whether its stop was confirmed, the lease that is left, whether an earlier owner started it), E817 of its end, E807 of the job that is not started. Gauge acacialine_lingering_runs. Result: two tests in test_placer; no decision changes.

--- a/acacialine/explain.py
+++ b/acacialine/explain.py
@@ -27,6 +27,8 @@
     "zone_run_not_started": "{server} refused a start ({outcome})",
     "zone_run_ended": "a run on {server} ended {how}",
     "zone_task_lost": "{server} was lost under it ({crashes} crashes so far)",
+    "zone_run_lingering": "a run on {server} went on without a job",
+    "zone_job_elsewhere": "zone {zone} may still run it",
     "request_target_lost": "placer {placer} was lost",
     "request_redirected": "zone {zone} still ran it from an earlier attempt",
     "zone_job_kept": "it kept running after its deadline",
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -145,6 +145,11 @@
                 submission, handovers=max(1, submission.handovers)
             )
         elif remote is not None:
+            self._log(
+                events.Event.ZONE_JOB_ELSEWHERE,
+                job=submission.job_id,
+                zone=remote.zone,
+            )
             self._orders.append(
                 orders_lib.AnswerJob(
                     (origin,),
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -172,10 +172,11 @@
         now = clock.now()
         tables = self.placer.tables
         counts = dict.fromkeys(("usable", "draining", "avoided"), 0)
-        used = total = silent_runs = 0
+        used = total = silent_runs = lingering_runs = 0
         for server in tables.servers.values():
             if server.unresponsive_since is not None:
                 silent_runs += len(server.runs)
+            lingering_runs += sum(r.is_lingering for r in server.runs.values())
             if serverhealth.is_usable(server, now):
                 counts["usable"] += 1
                 used += server.used.cpu
@@ -190,6 +191,7 @@
         meters.server_cpu_millicores.labels("usable").set(total)
         meters.open_jobs.set(len(tables.jobs))
         meters.silent_runs.set(silent_runs)
+        meters.lingering_runs.set(lingering_runs)
         for name, value in tables.counters.items():
             kind, _, how = name.partition(".")
             if kind == "ended":
--- a/acacialine/prometheusmetrics.py
+++ b/acacialine/prometheusmetrics.py
@@ -64,6 +64,11 @@
             "Runs on backend servers that do not answer polls.",
             (),
         )
+        self.lingering_runs = self._gauge(
+            "acacialine_lingering_runs",
+            "Runs without a job that have not ended.",
+            (),
+        )
 
     def count_event(self, event: events.Event) -> None:
         """Counts a numbered event."""
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -106,6 +106,41 @@
         self.assertEqual(build.starts(self.submit(placer, 4.4)), [])
         self.assertEqual(len(build.starts(self.submit(placer, 4.5))), 2)
 
+    def test_the_log_tells_of_a_run_that_goes_on_without_a_job(self):
+        placer = build.placer()
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        placer.cancel(run.key.job_id, "dispatcher", "caller left", 0.1)
+        events_logged = []
+        for now in (0.12, 0.2, 0.23, 0.26):
+            placer.tick(now)
+            events_logged += build.logged(placer.take_orders())
+        lingering = [
+            f for e, f in events_logged if e.name.endswith("LINGERING")
+        ]
+        (fields,) = lingering
+        self.assertEqual(fields["task"], run.key)
+        self.assertEqual(fields["state"], "stopping")
+        self.assertEqual(fields["stop_confirmed"], 0)
+        self.assertGreaterEqual(fields["detached_ms"], 100)
+        stopped = orders.EndedRow(
+            1, run.key, run.number, zonetables.EndKind.STOPPED
+        )
+        events_logged = build.logged(
+            self.poll(placer, run.server, 0.5, ended=[stopped])
+        )
+        ((event, fields),) = events_logged
+        self.assertEqual(event.name, "ZONE_RUN_GONE")
+        self.assertEqual(fields["detached_ms"], 400)
+
+    def test_the_log_tells_of_a_job_that_another_zone_may_run(self):
+        placer = build.placer()
+        job_id = build.submission().job_id
+        placer.record_remote_job(job_id, "zone-b", 0.0)
+        ((event, fields),) = build.logged(self.submit(placer, 0.1))
+        self.assertEqual(event.name, "ZONE_JOB_ELSEWHERE")
+        self.assertEqual(fields, {"job": job_id, "zone": "zone-b"})
+
     def test_a_job_that_ended_before_its_handover_is_answered(self):
         # The successor learned of the last end before the job was handed
         # over; the job was never answered and its client got a 504.
--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -92,3 +92,12 @@
 def answers(new_orders: list) -> list[orders.AnswerJob]:
     """Returns the orders that answer a job."""
     return [o for o in new_orders if isinstance(o, orders.AnswerJob)]
+
+
+def logged(new_orders: list) -> list[tuple]:
+    """Returns the logged events with their fields."""
+    return [
+        (o.event, o.fields)
+        for o in new_orders
+        if isinstance(o, orders.LogDecision)
+    ]
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -18,6 +18,8 @@
 
 STOP_RETRY_S = 0.15  # delay before an unconfirmed stop is sent again
 MAX_STOP_S = 0.06  # a backend server takes up to 50 ms to stop a run
+# A run lingers that had no job for this long: a stop and its answer take less.
+LINGER_S = 0.1
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
 STALL_MIN_AGE_RATIO = 2.5  # minimum age of a stalled run / its expected time
 # Added to a run number that a backend server refused as too old.
@@ -103,6 +105,8 @@
         if run.state != zonetables.RunState.RUNNING:
             return
         run.job = job
+        run.detached_at = None
+        run.is_lingering = False
         run.expected_s = job.estimate_s
         server.unclaimed_runs -= run.is_unclaimed
         run.demand = job.step.demand
@@ -119,6 +123,7 @@
         if run.job is not None:
             run.job.runs.pop(run.key.index, None)
             run.job = None
+            run.detached_at = now
         if run.state == zonetables.RunState.STARTING:
             run.state = zonetables.RunState.DOUBTFUL
         elif run.state == zonetables.RunState.RUNNING:
@@ -209,6 +214,7 @@
         """
         for server in self.tables.servers.values():
             for run in list(server.runs.values()):
+                self._check_lingering(run, now)
                 if (
                     now > server.lease_until
                     and now > run.not_after
@@ -225,6 +231,29 @@
                 elif self._is_stalled(run, now):
                     self._restart_stalled(run, now)
 
+    def _check_lingering(self, run: zonetables.Run, now: float) -> None:
+        """Records that a run without a job goes on for longer than usual."""
+        if run.is_lingering or run.detached_at is None:
+            return
+        if now - run.detached_at < LINGER_S:
+            return
+        run.is_lingering = True
+        server = run.server
+        self._log(
+            events.Event.ZONE_RUN_LINGERING,
+            task=run.key,
+            run=run.number,
+            server=server.id,
+            state=run.state.value,
+            detached_ms=zonetables.milliseconds(now - run.detached_at),
+            stop_confirmed=int(run.stop_confirmed_at is not None),
+            lease_left_ms=zonetables.milliseconds(
+                max(0.0, max(server.lease_until, run.not_after) - now)
+            ),
+            unclaimed=int(run.is_unclaimed),
+        )
+        self.tables.counters["runs_lingering"] += 1
+
     def record_crash(
         self, server: zonetables.Server, evidence: str, now: float
     ) -> None:
@@ -483,6 +512,7 @@
             now,
             0.0,
             confirmed_at=now,
+            detached_at=now,
             percent=row.percent,
             progress_at=now,
             is_start_known=False,
@@ -503,6 +533,15 @@
         server = run.server
         self.tables.remove_run(run, now)
         self.tables.counters[f"ended.{kind.value}"] += 1
+        if run.is_lingering:
+            self._log(
+                events.Event.ZONE_RUN_GONE,
+                task=run.key,
+                run=run.number,
+                server=server.id,
+                how=kind.value,
+                detached_ms=zonetables.milliseconds(now - run.detached_at),
+            )
         job = run.job
         if job is None:
             return
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -113,6 +113,8 @@
             take effect.
         stop_confirmed_at: When the backend server confirmed the stop.
         stop_sent_at: When the last stop was ordered.
+        detached_at: Since when it has no job; None while it has one.
+        is_lingering: Whether it has had no job for long.
         percent: Progress that the backend server reported last.
         progress_at: When `percent` last increased.
         seen_at: When a poll last listed it.
@@ -141,6 +143,8 @@
     percent: int = 0
     progress_at: float = 0.0
     seen_at: float = 0.0
+    detached_at: float | None = None
+    is_lingering: bool = False
     is_start_known: bool = True
     may_have_started: bool = True
     is_isolated: bool = False
