Test that fails: a run whose stops are lost, its job sent to another zone

The client of a job leaves, the stops of its run get no response, a neighbour's job renews the lease of the backend server. The client sends the job again 1.3 s later, in another zone, which starts it beside the run.

--- a/acacialine/tests/test_dispatchers.py
+++ b/acacialine/tests/test_dispatchers.py
@@ -18,6 +18,7 @@
 from acacialine.tools import zonecluster
 
 LOSS_SLACK_S = 0.2  # lossSlackMs of the platform
+RETRANSMIT_S = 1.3  # retransmitMs of the platform
 
 
 class DispatchersTest(unittest.TestCase):
@@ -270,6 +271,26 @@
             },
         )
 
+    def test_a_run_whose_stops_are_lost_keeps_its_job_from_other_zones(self):
+        async def scenario(cluster):
+            job, neighbour = "00000000000000ab", "00000000000000cd"
+            outcomes = iter(("", ""))  # of two starts; stops are lost
+            cluster.servers[0].next_request_outcome = lambda: next(
+                outcomes, "lost"
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cluster.submit, "a1", neighbour, 1, 2.7)
+                with trio.move_on_after(0.4):
+                    await cluster.submit("a1", job, 1, 2.2)
+                self.assertIn(job, cluster.fake_servers.started_jobs)
+                await trio.sleep(RETRANSMIT_S)
+                cluster.servers[0].next_request_outcome = str
+                self.assertEqual(await cluster.submit("b1", job, 1, 2.2), 200)
+
+        self.run_scenario(
+            scenario, servers=("a", "b"), dispatchers={"a1": "a", "b1": "b"}
+        )
+
     def test_a_resent_job_runs_once(self):
         async def scenario(cluster):
             job = "00000000000000ab"
