All zones learn of runs that go on without a job

Cause: between zones nothing but time kept a second run from starting: a client sends its job again after 1.3 s, a lease ends after 1.1 s. But a lease belongs to a backend server and is renewed while any run there has a job, so a run whose stop gets no response lives on. Only the dispatcher of the request told other zones of its job, and only in some cases. The class: mutual exclusion by a timeout that others extend, and a duty that lies with a process which may be gone. Change: the placer that holds the runs tells all zones of a job whose runs have gone on for 0.1 s without one, and again each 0.3 s until they have ended. That covers stopped runs and those of an earlier owner that no job claims, whoever knew of the job before. The other zones then send the job there, where it waits for the end of its runs. Two tests in test_placer fail without the change.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -456,6 +456,14 @@
         """Tells the candidates of this zone of a job that may run here."""
         self._relay_kept_job(job_id, self.zone)
 
+    def announce_job(self, job_id: str) -> None:
+        """Tells the placers of all zones of a job that may run here."""
+        self.share_job(job_id)
+        message = messages.JobKept(job_id, self.zone, False)
+        for link in self.hub.dialled_links.values():
+            if link.is_open and link.heartbeat.zone != self.zone:
+                link.post(message)
+
     def _relay_kept_job(self, job_id: str, zone: str) -> None:
         message = messages.JobKept(job_id, zone, True)
         for link in self.hub.dialled_links.values():
--- a/acacialine/orders.py
+++ b/acacialine/orders.py
@@ -68,6 +68,17 @@
     job_id: str
 
 
+@attrs.frozen
+class AnnounceJob:
+    """Order: tell the placers of all zones of a job whose runs may go on.
+
+    No client of this zone waits for it. Its client may send it again to any
+    zone, which must not start it beside these runs.
+    """
+
+    job_id: str
+
+
 @attrs.frozen
 class ShareLosses:
     """Order: tell other dispatchers of the losses of a task.
@@ -87,7 +98,15 @@
     fields: dict
 
 
-Order = StartRun | StopRun | AnswerJob | ShareJob | ShareLosses | LogDecision
+Order = (
+    StartRun
+    | StopRun
+    | AnswerJob
+    | ShareJob
+    | AnnounceJob
+    | ShareLosses
+    | LogDecision
+)
 
 
 @attrs.frozen
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -697,6 +697,7 @@
         tables = self.tables
         zonetables.drop_expired_remote_jobs(tables.remote_jobs, now)
         tables.losses.drop_expired(now)
+        self.runs.drop_expired(now)
         for table, retention_s in (
             (tables.ended_jobs, zonetables.ENDED_JOBS_RETENTION_S),
             (tables.unclaimed_ends, zonetables.ENDED_JOBS_RETENTION_S),
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -305,6 +305,8 @@
                     origin.post(message)
             case orders_lib.ShareJob(job_id):
                 self._dispatcher.share_job(job_id)
+            case orders_lib.AnnounceJob(job_id):
+                self._dispatcher.announce_job(job_id)
             case orders_lib.ShareLosses(key, task_losses):
                 self._dispatcher.share_losses(key, task_losses)
             case orders_lib.LogDecision(event, fields):
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -133,6 +133,37 @@
         self.assertEqual(event.name, "ZONE_RUN_GONE")
         self.assertEqual(fields["detached_ms"], 400)
 
+    def announced_at(self, placer, times):
+        """Ticks at some times; returns those at which a job is announced."""
+        found = []
+        for now in times:
+            placer.tick(now)
+            found += [now for _ in build.announced(placer.take_orders())]
+        return found
+
+    def test_all_zones_learn_of_a_run_whose_stop_gets_no_response(self):
+        placer = build.placer()
+        runs = build.starts(self.submit(placer))
+        self.confirm(placer, runs)
+        placer.cancel(runs[0].key.job_id, "dispatcher", "caller left", 0.1)
+        times = (0.12, 0.18, 0.22, 0.3, 0.4, 0.53, 0.6, 0.84)
+        self.assertEqual(self.announced_at(placer, times), [0.22, 0.53, 0.84])
+        self.poll(placer, runs[0].server, 1.0)
+        self.assertEqual(self.announced_at(placer, (1.2, 1.4)), [])
+
+    def test_all_zones_learn_of_an_unclaimed_run_before_its_job_returns(self):
+        (run,) = build.starts(self.submit(build.placer(), step=build.step(1)))
+        row = orders.RunningRow(run.key, 1, 50)
+        successor = build.placer()
+        (server,) = successor.tables.servers.values()
+        self.poll(successor, server, 0.1, [row])
+        self.assertEqual(self.announced_at(successor, (0.15, 0.22)), [0.22])
+        successor = build.placer()
+        (server,) = successor.tables.servers.values()
+        self.poll(successor, server, 0.1, [row])
+        self.submit(successor, 0.15, step=build.step(1), handovers=1)
+        self.assertEqual(self.announced_at(successor, (0.22, 0.4)), [])
+
     def test_the_log_tells_of_a_job_that_another_zone_may_run(self):
         placer = build.placer()
         job_id = build.submission().job_id
--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -94,6 +94,11 @@
     return [o for o in new_orders if isinstance(o, orders.AnswerJob)]
 
 
+def announced(new_orders: list) -> list[str]:
+    """Returns the ids of the jobs that all zones are told of."""
+    return [o.job_id for o in new_orders if isinstance(o, orders.AnnounceJob)]
+
+
 def logged(new_orders: list) -> list[tuple]:
     """Returns the logged events with their fields."""
     return [
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -20,6 +20,8 @@
 MAX_STOP_S = 0.06  # a backend server takes up to 50 ms to stop a run
 # A run lingers that had no job for this long: a stop and its answer take less.
 LINGER_S = 0.1
+# Interval of the announcements of a job with such runs; some are lost.
+ANNOUNCE_INTERVAL_S = 0.3
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
 STALL_MIN_AGE_RATIO = 2.5  # minimum age of a stalled run / its expected time
 # Added to a run number that a backend server refused as too old.
@@ -73,6 +75,7 @@
     is_list_current: bool = True
     awaits_list: bool = False
     unknown_before: float = -1e9
+    _announced_at: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def all_runs_known(self) -> bool:
@@ -232,10 +235,15 @@
                     self._restart_stalled(run, now)
 
     def _check_lingering(self, run: zonetables.Run, now: float) -> None:
-        """Records that a run without a job goes on for longer than usual."""
-        if run.is_lingering or run.detached_at is None:
+        """Announces the job of a run that goes on long after it has ended.
+
+        An earlier owner of the zone may have had the job, and have been lost
+        with the dispatcher that knew of it.
+        """
+        if run.detached_at is None or now - run.detached_at < LINGER_S:
             return
-        if now - run.detached_at < LINGER_S:
+        self.announce(run.key.job_id, now)
+        if run.is_lingering:
             return
         run.is_lingering = True
         server = run.server
@@ -254,6 +262,23 @@
         )
         self.tables.counters["runs_lingering"] += 1
 
+    def announce(self, job_id: str, now: float) -> None:
+        """Tells all zones of a job whose runs may go on, from time to time."""
+        if now - self._announced_at.get(job_id, -1e9) < ANNOUNCE_INTERVAL_S:
+            return
+        # Removed first, so that the table stays in the order of the times.
+        self._announced_at.pop(job_id, None)
+        self._announced_at[job_id] = now
+        self.emit(orders_lib.AnnounceJob(job_id))
+
+    def drop_expired(self, now: float) -> None:
+        """Removes the times of announcements that no longer matter."""
+        while self._announced_at:
+            job_id = next(iter(self._announced_at))
+            if now - self._announced_at[job_id] < ANNOUNCE_INTERVAL_S:
+                return
+            del self._announced_at[job_id]
+
     def record_crash(
         self, server: zonetables.Server, evidence: str, now: float
     ) -> None:
