Runs of a silent dispatcher are announced when its jobs end

Callers: a task could run twice, 1.3 s after its dispatcher fell silent. A placer ends the jobs of a silent dispatcher 1.0 to 1.15 s after its last message. With 0.1 s more until their runs count as lingering, other zones would learn of them at 1.25 s at the earliest, while clients return at 1.3 s. Change: the jobs of a silent dispatcher that have runs are announced as they end.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -311,7 +311,8 @@
 
         If only its link broke, its jobs continue for ORPHAN_TIMEOUT_S, because
         it may submit them again. If it was silent, its clients may already be
-        about to send their jobs to another zone, so its jobs end at once.
+        about to send their jobs to another zone, so its jobs end at once and
+        all zones are told of their runs.
 
         Args:
             origin: The session of the dispatcher.
@@ -326,6 +327,8 @@
                 job.origins.clear()
                 job.orphaned_at = now
             else:
+                if job.origins == {origin} and job.runs:
+                    self.runs.announce(job.id, now)
                 self.cancel(job.id, origin, "entry lost", now)
 
     def _end_orphaned_jobs(self, now: float) -> None:
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -297,6 +297,14 @@
         self.assertEqual(build.stops(placer.take_orders()), runs)
         self.assertEqual(runs[0].server.used.cpu, 14000)
 
+    def test_all_zones_learn_at_once_of_the_runs_of_a_silent_dispatcher(self):
+        placer = build.placer()
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        placer.remove_origin("dispatcher", True, 1.1)
+        announced = build.announced(placer.take_orders())
+        self.assertEqual(announced, [run.key.job_id])
+
     def test_no_task_starts_on_an_old_list_of_servers(self):
         # Servers may have left since the list was read, and a server that
         # drains must get no task.
