A job that waits for its first start goes to the zone that may run it

Callers: a task could run twice if the news of its first run came late. Cause: what another zone says of a job was looked at when the job arrived only. A job that was queued a moment before the message came started as soon as it had a place. Change: such a job is answered with the name of the zone, as one that arrives later is. One that may have started here stays. Result: the new test in test_placer fails without it; by reading, not seen on the bench.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -145,19 +145,7 @@
                 submission, handovers=max(1, submission.handovers)
             )
         elif remote is not None:
-            self._log(
-                events.Event.ZONE_JOB_ELSEWHERE,
-                job=submission.job_id,
-                zone=remote.zone,
-            )
-            self._orders.append(
-                orders_lib.AnswerJob(
-                    (origin,),
-                    submission.job_id,
-                    zonetables.Verdict.ELSEWHERE,
-                    remote.zone,
-                )
-            )
+            self._send_elsewhere(submission.job_id, (origin,), remote.zone)
             return
         ended_job = tables.ended_jobs.get(submission.job_id)
         if ended_job is not None and ended_job.verdict in (
@@ -297,7 +285,8 @@
         """Records that a zone may run a job for which no client waits now.
 
         In another zone than `zone` the job must not start until its runs
-        there have ended. A successor in that zone treats it as handed over.
+        there have ended; one that waits here is sent there. A successor in
+        that zone treats it as handed over.
         """
         zonetables.record_remote_job(
             self.tables.remote_jobs,
@@ -305,6 +294,20 @@
             zone,
             now + KEPT_JOB_S + self.runs.lease_times.lost_owner_s,
         )
+        job = self.tables.jobs.get(job_id)
+        if job is None or job.possible_starts or zone == self.tables.zone:
+            return
+        del self.tables.jobs[job_id]
+        self._send_elsewhere(job_id, tuple(job.origins), zone)
+
+    def _send_elsewhere(self, job_id: str, origins: tuple, zone: str) -> None:
+        """Answers a job with the name of the zone that may still run it."""
+        self._log(events.Event.ZONE_JOB_ELSEWHERE, job=job_id, zone=zone)
+        self._orders.append(
+            orders_lib.AnswerJob(
+                origins, job_id, zonetables.Verdict.ELSEWHERE, zone
+            )
+        )
 
     def remove_origin(self, origin, is_silent: bool, now: float) -> None:
         """Removes the session of an unreachable dispatcher from all jobs.
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -106,6 +106,19 @@
         self.assertEqual(build.starts(self.submit(placer, 4.4)), [])
         self.assertEqual(len(build.starts(self.submit(placer, 4.5))), 2)
 
+    def test_a_waiting_job_goes_to_the_zone_that_turns_out_to_run_it(self):
+        placer = build.placer(build.server(cpu=7000))
+        self.submit(placer, step=build.step(1))
+        waiting_id = "00000000000000bb"
+        self.submit(placer, 0.1, job_id=waiting_id, step=build.step(1))
+        self.assertIn(waiting_id, placer.tables.jobs)
+        placer.record_remote_job(waiting_id, "zone-b", 0.2)
+        (answer,) = build.answers(placer.take_orders())
+        self.assertEqual(answer.job_id, waiting_id)
+        self.assertIs(answer.verdict, zonetables.Verdict.ELSEWHERE)
+        self.assertEqual(answer.reason, "zone-b")
+        self.assertNotIn(waiting_id, placer.tables.jobs)
+
     def test_the_log_tells_of_a_run_that_goes_on_without_a_job(self):
         placer = build.placer()
         (run,) = build.starts(self.submit(placer, step=build.step(1)))
