A placer that owns its zone again remembers the jobs that it had shared

Cause: a placer tells the candidates of its zone of jobs that may run there, but not itself. If it is fenced and claims the zone again, its new tables took such a job for one that never ran: it might be refused as not run, or start beside a run that is not listed yet. Change: what is shared is recorded for this dispatcher too.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -80,7 +80,7 @@
         store_reader: Follows the store.
         link_manager: Maintains the links to other dispatchers.
         remote_jobs: Jobs that the placer of this zone told the candidates of,
-            by id; used if this dispatcher becomes the placer.
+            by id; used if this dispatcher becomes the placer, or does again.
         losses: Lost runs of recent jobs, of all zones; the placer in this
             process shares it.
     """
@@ -453,7 +453,11 @@
         self.share_job(job_id)
 
     def share_job(self, job_id: str) -> None:
-        """Tells the candidates of this zone of a job that may run here."""
+        """Tells the candidates of this zone of a job that may run here.
+
+        This dispatcher is one of them: it may lose the zone and own it again.
+        """
+        self._record_remote_job(job_id, self.zone)
         self._relay_kept_job(job_id, self.zone)
 
     def announce_job(self, job_id: str) -> None:
@@ -470,16 +474,19 @@
             if link.is_open and link.heartbeat.zone == self.zone:
                 link.post(message)
 
-    def _receive_kept_job(self, message: messages.JobKept) -> None:
-        """Records where a job may run, here and at the other candidates."""
+    def _record_remote_job(self, job_id: str, zone: str) -> None:
         now = clock.now()
         zonetables.drop_expired_remote_jobs(self.remote_jobs, now)
         zonetables.record_remote_job(
             self.remote_jobs,
-            message.job_id,
-            message.zone,
+            job_id,
+            zone,
             now + placer_lib.KEPT_JOB_S + self.intake.lease_times.lost_owner_s,
         )
+
+    def _receive_kept_job(self, message: messages.JobKept) -> None:
+        """Records where a job may run, here and at the other candidates."""
+        self._record_remote_job(message.job_id, message.zone)
         if self.placer_host is None:
             return
         self.placer_host.record_remote_job(message.job_id, message.zone)
