Simulations of zones: hooks for the dispatcher, the job and the stop orders

Cause: a simulation of lost dispatchers needs to choose living dispatchers, to know the client behind each callback, to lose stop orders apart from the polls, and runs that aren't soon taken as stalled (a fake server always listed 50 percent). Change: hooks and rates as attributes; progress is listed on demand.

--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -54,7 +54,18 @@
 
 
 class Simulation(zonesimulation.Network):
-    """Two zones, each with one dispatcher and successive placers."""
+    """Two zones, each with one dispatcher and successive placers.
+
+    Attributes:
+        leave_rate: Share of the clients that leave before the answer.
+        take_over_rate: Chance of a new placer in a tick.
+        break_rate: Chance that a link breaks in a tick.
+        clients: Job and remaining tries of each client, by its callback.
+    """
+
+    leave_rate = 0.15
+    take_over_rate = 0.006
+    break_rate = 0.02
 
     def __init__(self, seed, fault_rate):
         super().__init__(seed, fault_rate)
@@ -70,6 +81,7 @@
         self.refusals = {}
         self.answers = {}
         self.kept_count = 0
+        self.clients = {}
 
     def servers_of(self, zone):
         servers = self.server_pool.servers.values()
@@ -149,6 +161,15 @@
     def prepare_job(self, job_id):
         """Called before a client first sends a job; for subclasses."""
 
+    def build_job(self, job_id):
+        """Returns the job that a client is about to send."""
+        return build.submission(
+            job_id,
+            step=build.step(self.random.choice((1, 2))),
+            left_s=0.6,
+            queue=build.queue(target_latency_s=2.0),
+        )
+
     def hand_over_fenced(self, owner):
         """A fenced owner hands its jobs back; the intakes notice by epoch."""
 
@@ -267,8 +288,12 @@
 
     # Clients
 
+    def choose_dispatcher(self):
+        """Returns the dispatcher that a client reaches."""
+        return self.random.choice(ZONES)
+
     def send_job(self, job, tries):
-        dispatcher = self.random.choice(ZONES)
+        dispatcher = self.choose_dispatcher()
         intake = self.intakes[dispatcher]
 
         def notify(answer):
@@ -279,8 +304,9 @@
             if answer.kind is intake_lib.AnswerKind.UNKNOWN:
                 self.send_again(job, tries)
 
+        self.clients[notify] = (job, tries)
         intake.receive(job, notify, self.now)
-        if self.random.random() < 0.15:
+        if self.random.random() < self.leave_rate:
             leaves_at = self.now + self.random.uniform(0.02, 0.4)
             self.at(
                 leaves_at, lambda at: self.leave(intake, job, notify, tries)
@@ -300,6 +326,17 @@
                 lambda at: self.send_job(job, tries - 1),
             )
 
+    def tick(self):
+        """Lets all dispatchers and placers act, then time go on."""
+        for dispatcher in ZONES:
+            self.tick_intake(dispatcher)
+        for zone in self.zones.values():
+            if zone.owner is not None:
+                zone.owner.tick(self.now)
+        for owner in self.former_owners:
+            owner.tick(self.now)
+        self.advance(TICK_S)
+
     def run(self):
         numbers = itertools.count(1)
         while self.now < END_S:
@@ -308,26 +345,14 @@
                 self.server_pool.job_length_s[job_id] = self.random.choice(
                     (0.05, 0.3, 0.9, 1.6, 2.5)
                 )
-                job = build.submission(
-                    job_id,
-                    step=build.step(self.random.choice((1, 2))),
-                    left_s=0.6,
-                    queue=build.queue(target_latency_s=2.0),
-                )
+                job = self.build_job(job_id)
                 self.prepare_job(job_id)
                 self.send_job(job, 3)
-            if self.random.random() < 0.006:
+            if self.random.random() < self.take_over_rate:
                 self.take_over(self.random.choice(ZONES))
-            if self.random.random() < 0.02:
+            if self.random.random() < self.break_rate:
                 self.break_link(self.random.choice(list(self.links.values())))
-            for dispatcher in ZONES:
-                self.tick_intake(dispatcher)
-            for zone in self.zones.values():
-                if zone.owner is not None:
-                    zone.owner.tick(self.now)
-            for owner in self.former_owners:
-                owner.tick(self.now)
-            self.advance(TICK_S)
+            self.tick()
         return self
 
 
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -59,6 +59,10 @@
             return request_delay_s, None
         return request_delay_s, request_delay_s
 
+    def draw_stop_delays(self, run):
+        """Returns the delays of a stop order and its reply."""
+        return self.draw_delays()
+
     def send_request(self, delays, deliver):
         if delays[0] is not None:
             self.at(self.now + delays[0], deliver)
@@ -211,7 +215,7 @@
     def _stop(self, run, now):
         simulation = self.simulation
         fake = simulation.server_pool.servers[run.server.id]
-        delays = simulation.draw_delays()
+        delays = simulation.draw_stop_delays(run)
 
         incarnation = fake.incarnation
 
--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -27,6 +27,7 @@
     key: zonetables.TaskKey
     number: int
     cpu: int
+    started_at: float
     ends_at: float
     stop_requested_at: float | None = None
 
@@ -145,7 +146,7 @@
         self.lease_until = max(self.lease_until, lease_until)
         length_s = self.server_pool.length_s(run.key)
         cpu = self.server_pool.job_cpu[run.key.job_id]
-        new_run = FakeRun(run.key, run.number, cpu, now + length_s)
+        new_run = FakeRun(run.key, run.number, cpu, now, now + length_s)
         self.server_pool.record_start(self, new_run, now)
         self.runs[(run.key, run.number)] = new_run
         if run.key in self.server_pool.crashing_tasks:
@@ -166,6 +167,12 @@
             run_to_stop.stop_requested_at = now
         return True
 
+    def _percent(self, run: FakeRun, now: float) -> int:
+        if not self.server_pool.shows_progress:
+            return 50
+        length_s = run.ends_at - run.started_at
+        return round(100 * (now - run.started_at) / length_s)
+
     def poll(
         self, epoch: int, last_ended_seq: int, lease_until: float, now: float
     ) -> orders.PollResult | None:
@@ -183,7 +190,7 @@
         if self.runs:
             self.lease_until = max(self.lease_until, lease_until)
         running = tuple(
-            orders.RunningRow(run.key, run.number, 50)
+            orders.RunningRow(run.key, run.number, self._percent(run, now))
             for run in self.runs.values()
         )
         return orders.PollResult(
@@ -203,6 +210,8 @@
         down_s: Time in s from a crash until the server restarts.
         resize_grace_s: Time in s for which an earlier capacity counts after
             it has shrunk: `contactMs` and a heartbeat on the platform.
+        shows_progress: Whether the listed progress rises with time; else all
+            runs soon look stalled.
         crash_counts: Number of servers that crashed under a task.
         late_start_counts: Number of starts of a task after MAX_CRASHES.
         running_counts: Number of present runs, by task key.
@@ -220,6 +229,7 @@
     crashing_tasks: set = attrs.field(factory=set)
     down_s: float = 3.0
     resize_grace_s: float = 4.5
+    shows_progress: bool = False
     crash_counts: collections.Counter = attrs.field(factory=collections.Counter)
     late_start_counts: collections.Counter = attrs.field(
         factory=collections.Counter
