Simulation of dispatchers that die with their requests (red: the fault stands)

Cause: TWICE between zones; no test lets a dispatcher die with its requests or loses stop orders while polls renew the leases. Change: test_lost_dispatchers, on the simulation of test_kept_jobs, and six directed tests. The production code is unchanged.

--- /dev/null
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -0,0 +1,541 @@
+"""Dispatchers that die with the requests of their clients.
+
+Two zones on one virtual clock, as in `test_kept_jobs`, whose dispatchers are
+killed or fall silent, alone or with the placer of their zone, and are
+replaced by empty ones. Stop orders are lost, late or unanswered while polls
+renew the leases. The clients send their jobs again 1.3 s later, to any
+dispatcher that lives. No task may run twice at once.
+"""
+
+import collections
+import os
+import unittest
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from acacialine import intake as intake_lib
+from acacialine.tests import test_kept_jobs
+from acacialine.tests import zonebuilders as build
+
+EXAMPLES = int(os.environ.get("ACACIALINE_EXAMPLES", "25"))
+ZONES = test_kept_jobs.ZONES
+RETRY_DELAY_S = test_kept_jobs.RETRY_DELAY_S
+SUSPECT_AFTER_S = 0.7  # silence of a dispatcher until its jobs are shared
+
+
+@attrs.frozen
+class Faults:
+    """Which faults a simulation draws.
+
+    Attributes:
+        stop_rate: Share of the stop orders that fail; polls work.
+        killed_rate: Chance in a tick that a dispatcher is killed.
+        silent_rate: Chance in a tick that a dispatcher falls silent.
+        placer_share: Share of these that take the placer of the zone along.
+        share_loss_rate: Share of the messages between placers that are lost.
+        has_cuts: Whether the placers of the zones are cut off at times.
+        take_over_rate: Chance in a tick of a new placer, its predecessor
+            being killed or paused.
+        break_rate: Chance in a tick that a link breaks.
+    """
+
+    stop_rate: float = 0.0
+    killed_rate: float = 0.0
+    silent_rate: float = 0.0
+    placer_share: float = 0.0
+    share_loss_rate: float = 0.0
+    has_cuts: bool = False
+    take_over_rate: float = 0.0
+    break_rate: float = 0.0
+
+
+ALL_FAULTS = Faults(
+    stop_rate=0.3,
+    killed_rate=0.004,
+    silent_rate=0.004,
+    placer_share=0.5,
+    take_over_rate=0.003,
+    break_rate=0.01,
+)
+
+
+class Simulation(test_kept_jobs.Simulation):
+    """Two zones whose dispatchers die and are replaced.
+
+    Attributes:
+        faults: The faults to draw.
+        history: What happened to each job, as pairs of a time and a text.
+        zone_history: The same for dispatchers and placers.
+        death_counts: Number of deaths by kind.
+        stop_counts: Number of stop orders by what happens to them.
+        replaced_after_s: Shortest and longest time without a dispatcher.
+        succeeded_after_s: The same for a placer that died with it.
+        silence_s: The same until a placer notices that it is silent.
+    """
+
+    leave_rate = 0.25
+    replaced_after_s = (0.05, 2.0)
+    succeeded_after_s = (0.05, 1.0)
+    silence_s = (1.0, 1.15)
+
+    def __init__(self, seed, faults):
+        super().__init__(seed, 0.0)
+        self.faults = faults
+        self.take_over_rate = faults.take_over_rate
+        self.break_rate = faults.break_rate
+        self.server_pool.shows_progress = True
+        self.dead = set()
+        self.cut_until = 0.0
+        self.history = collections.defaultdict(list)
+        self.zone_history = []
+        self.death_counts = collections.Counter()
+        self.stop_counts = collections.Counter()
+        self._noted_runs = set()
+
+    # Records
+
+    def note(self, job_id, text):
+        self.history[job_id].append((self.now, text))
+
+    def note_zone(self, text):
+        self.zone_history.append((self.now, text))
+
+    def note_runs(self):
+        """Notes the runs that have begun or ended since the last call."""
+        listed = {
+            (server.id, run.key, run.number)
+            for server in self.server_pool.servers.values()
+            for run in server.runs.values()
+        }
+        for server_id, key, number in listed - self._noted_runs:
+            self.note(key.job_id, f"run {number} of {key} is on {server_id}")
+        for server_id, key, number in self._noted_runs - listed:
+            self.note(key.job_id, f"run {number} of {key} left {server_id}")
+        self._noted_runs = listed
+
+    def describe_violations(self):
+        """Returns the violations with the history of their jobs."""
+        lines = []
+        for violation in self.server_pool.violations:
+            lines.append(violation)
+            for job_id, notes in self.history.items():
+                if job_id in violation:
+                    first, last = notes[0][0] - 1, notes[-1][0]
+                    zone_notes = [
+                        (time, f"* {text}")
+                        for time, text in self.zone_history
+                        if first <= time <= last
+                    ]
+                    lines += [
+                        f"    {time:.3f} {text}"
+                        for time, text in sorted(notes + zone_notes)
+                    ]
+        return "\n".join(lines)
+
+    # Faults
+
+    def draw_stop_fault(self):
+        if self.random.random() < self.faults.stop_rate:
+            return self.random.choice(("lost", "late", "no answer"))
+        return "none"
+
+    def draw_stop_delays(self, run):
+        delays = self.draw_delays()
+        fault = self.draw_stop_fault()
+        self.stop_counts[fault] += 1
+        self.note(
+            run.key.job_id,
+            f"stop of run {run.number} of {run.key} on {run.server.id},"
+            f" fault: {fault}",
+        )
+        match fault:
+            case "lost":
+                return None, None
+            case "late":
+                return self.random.uniform(1.0, 4.0), None
+            case "no answer":
+                return delays[0], None
+        return delays
+
+    def is_up(self, link):
+        return link.dispatcher not in self.dead and super().is_up(link)
+
+    def tick_intake(self, dispatcher):
+        if dispatcher not in self.dead:
+            super().tick_intake(dispatcher)
+
+    def execute(self, dispatcher, order):
+        match order:
+            case intake_lib.HandOverJob(placer, submission):
+                text = f"handed to {placer.peer_id} by {dispatcher}"
+                self.note(submission.job_id, text)
+            case intake_lib.CancelJob() | intake_lib.KeepJob():
+                self.note(order.job_id, f"{dispatcher}: {order}")
+            case intake_lib.AnnounceKeptJob():
+                self.note(order.job_id, f"{dispatcher}: {order}")
+        super().execute(dispatcher, order)
+
+    def lose_dispatcher(self, dispatcher, is_silent, takes_placer):
+        """Ends a dispatcher; its clients send their jobs again."""
+        kind = "silent" if is_silent else "killed"
+        self.death_counts[kind] += 1
+        self.note_zone(
+            f"{kind}: dispatcher of {dispatcher}"
+            + " and placer" * bool(takes_placer)
+        )
+        self.death_counts["with placer"] += takes_placer
+        self.dead.add(dispatcher)
+        self._lose_clients(dispatcher, is_silent)
+        if takes_placer:
+            self.lose_placer(dispatcher)
+        for link in self.links.values():
+            if link.dispatcher == dispatcher:
+                self._lose_link(link, is_silent)
+        self.at(
+            self.now + self.random.uniform(*self.replaced_after_s),
+            lambda at: self.replace_dispatcher(dispatcher),
+        )
+
+    def _lose_clients(self, dispatcher, is_silent):
+        """Lets the clients notice, at once or when they get no answer."""
+        requests = self.intakes[dispatcher].requests
+        for job_id, request in requests.items():
+            for notify in request.callbacks:
+                notices_at = self.now
+                if is_silent and self.random.random() < 0.5:
+                    notices_at = max(
+                        self.now,
+                        request.deadline_at + intake_lib.DEADLINE_MARGIN_S,
+                    )
+                text = f"its client notices at {notices_at:.3f}"
+                self.note(job_id, text)
+                self.refusals.setdefault(job_id, []).append(False)
+                self.at(
+                    notices_at,
+                    lambda at, job_client=self.clients[notify]: self.send_again(
+                        *job_client
+                    ),
+                )
+        requests.clear()
+
+    def _lose_link(self, link, is_silent):
+        session = link.session
+        link.generation += 1
+        owners = [self.zones[link.zone].owner, *self.former_owners]
+        for owner in owners:
+            if owner is None or owner.is_closed or owner.zone != link.zone:
+                continue
+            if not is_silent:
+                owner.placer.remove_origin(session, False, self.now)
+                continue
+            silent_s = self.random.uniform(*self.silence_s)
+            self.at(
+                self.now + silent_s + SUSPECT_AFTER_S - 1.0,
+                lambda at, o=owner: self.suspect_origin(o, session, at),
+            )
+            self.at(
+                self.now + silent_s,
+                lambda at, o=owner: self._remove_silent(o, session, at),
+            )
+
+    def _remove_silent(self, owner, session, now):
+        if not owner.is_closed:
+            owner.placer.remove_origin(session, True, now)
+
+    def suspect_origin(self, owner, session, now):
+        """HOOK: the placer of `owner` is to share the jobs of `session`.
+
+        Called SUSPECT_AFTER_S after the last message of a silent dispatcher.
+        The placer has no such method yet.
+        """
+
+    def lose_placer(self, zone_name):
+        """Ends the process of a placer; a successor knows no unclaimed jobs."""
+        zone = self.zones[zone_name]
+        former = zone.owner
+        if former is None:
+            return
+        former.is_closed = True
+        zone.owner = None
+        if self.random.random() < 0.5:
+            zone.known_jobs = {}  # no other candidate knew them
+        for link in self.links.values():
+            if link.zone == zone_name:
+                link.generation += 1
+        self.at(
+            self.now + self.random.uniform(*self.succeeded_after_s),
+            lambda at: self._own(zone_name, former.epoch + 1, at),
+        )
+
+    def take_over(self, zone_name):
+        self.note_zone(f"placer of {zone_name} is killed or paused")
+        super().take_over(zone_name)
+
+    def _own(self, zone_name, epoch, now):
+        super()._own(zone_name, epoch, now)
+        unreachable = self.zones[zone_name].owner.unreachable_until
+        self.note_zone(f"new placer of {zone_name}, unreachable: {unreachable}")
+
+    def break_link(self, link):
+        self.note_zone(f"link {link.session} breaks")
+        super().break_link(link)
+
+    def replace_dispatcher(self, dispatcher):
+        self.dead.discard(dispatcher)
+        self.intakes[dispatcher] = intake_lib.Intake(dispatcher)
+
+    # Messages between placers
+
+    def share_with_all_zones(self, owner, job_id):
+        """Tells the placers and candidates of all zones where a job may run."""
+        running_zone = owner.zone
+        self.share(owner, job_id)
+        for zone in ZONES:
+            if zone == running_zone or self.now < self.cut_until:
+                continue
+            if self.random.random() < self.faults.share_loss_rate:
+                continue
+            self.at(
+                self.now + self.random.uniform(0.0005, 0.003),
+                lambda at, z=zone: self._learn(z, job_id, running_zone, at),
+            )
+
+    def _learn(self, zone, job_id, running_zone, now):
+        self.note(job_id, f"{zone} learns that {running_zone} may run it")
+        owner = self.zones[zone].owner
+        if owner is not None and not owner.is_closed:
+            owner.placer.record_remote_job(job_id, running_zone, now)
+        self._tell_candidates(zone, job_id, running_zone)
+
+    # Clients
+
+    def build_job(self, job_id):
+        return build.submission(
+            job_id,
+            step=build.step(
+                self.random.choice((1, 2)),
+                estimate_s=self.server_pool.job_length_s[job_id],
+            ),
+            left_s=self.random.choice((0.6, 3.0, 4.0)),
+            queue=build.queue(target_latency_s=2.0),
+        )
+
+    def choose_dispatcher(self):
+        return self.random.choice([z for z in ZONES if z not in self.dead])
+
+    def send_job(self, job, tries):
+        if len(self.dead) == len(ZONES):
+            self.send_again(job, tries + 1)
+            return
+        self.note(job.job_id, "the client sends the job")
+        super().send_job(job, tries)
+
+    def leave(self, intake, job, notify, tries):
+        request = intake.requests.get(job.job_id)
+        if request is not None and notify in request.callbacks:
+            self.note(job.job_id, "the client leaves")
+        super().leave(intake, job, notify, tries)
+
+    # Time
+
+    def draw_deaths(self):
+        """Draws what dies in this tick."""
+        faults = self.faults
+        for is_silent, rate in (
+            (False, faults.killed_rate),
+            (True, faults.silent_rate),
+        ):
+            living = [z for z in ZONES if z not in self.dead]
+            if living and self.random.random() < rate:
+                self.lose_dispatcher(
+                    self.random.choice(living),
+                    is_silent,
+                    self.random.random() < faults.placer_share,
+                )
+        if faults.has_cuts and self.random.random() < 0.003:
+            self.cut_until = self.now + self.random.uniform(0.1, 2.0)
+
+    def advance(self, seconds):
+        self.draw_deaths()
+        super().advance(seconds)
+        self.note_runs()
+
+
+def draw_faults(seed):
+    """Returns all faults, with rates that depend on the seed."""
+    return attrs.evolve(
+        ALL_FAULTS,
+        stop_rate=(0.0, 0.3, 0.6)[seed % 3],
+        share_loss_rate=(0.0, 0.2)[seed // 3 % 2],
+    )
+
+
+class _NoChance:
+    """Draws no faults and the middle of each range."""
+
+    def random(self):
+        return 0.999
+
+    def uniform(self, first, last):
+        return (first + last) / 2
+
+    def choice(self, options):
+        return options[0]
+
+
+class ScriptedSimulation(Simulation):
+    """The same two zones with only the faults that a test asks for.
+
+    Attributes:
+        stops_lost_until: Until when all stop orders are lost.
+    """
+
+    def __init__(self):
+        super().__init__(0, Faults())
+        self.random = _NoChance()
+        self.stops_lost_until = 0.0
+        self.target = ZONES[0]
+        self.run_until(0.2)
+
+    def draw_stop_fault(self):
+        return "lost" if self.now < self.stops_lost_until else "none"
+
+    def choose_dispatcher(self):
+        return self.target
+
+    def run_until(self, until):
+        while self.now < until - 1e-6:
+            self.tick()
+
+    def submit(self, zone, job_id, left_s=4.0):
+        """Sends a job of one long task; its client tries three times."""
+        self.target = zone
+        self.server_pool.job_length_s[job_id] = 2.5
+        job = build.submission(job_id, step=build.step(1), left_s=left_s)
+        self.send_job(job, 3)
+        return job
+
+    def leave_now(self, job):
+        """Lets the client of a job leave."""
+        intake = self.intakes[self.target]
+        request = intake.requests[job.job_id]
+        self.leave(intake, job, request.callbacks[0], 3)
+
+
+JOB = "00000000000000aa"
+NEIGHBOUR = "00000000000000bb"
+
+
+class LostRunsTest(unittest.TestCase):
+    """Runs that live on while their job starts in another zone.
+
+    The client sends its job again 1.3 s after it left or its dispatcher died.
+    """
+
+    def setUp(self):
+        self.simulation = ScriptedSimulation()
+
+    def check(self):
+        self.simulation.run_until(3.5)
+        self.assertIn(JOB, self.simulation.server_pool.started_jobs)
+        text = self.simulation.describe_violations()
+        self.assertEqual(self.simulation.server_pool.violations, [], text)
+
+    def test_a_cancelled_run_whose_neighbour_renews_its_lease(self):
+        simulation = self.simulation
+        job = simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.submit("zone-a", NEIGHBOUR)
+        simulation.run_until(0.6)
+        simulation.stops_lost_until = 2.2
+        simulation.leave_now(job)
+        simulation.target = "zone-b"
+        self.check()
+
+    def test_a_killed_dispatcher_whose_run_has_a_neighbour(self):
+        simulation = self.simulation
+        simulation.replaced_after_s = (0.05, 0.05)
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.stops_lost_until = 2.0
+        simulation.lose_dispatcher("zone-a", False, False)
+        simulation.run_until(0.6)
+        simulation.submit("zone-a", NEIGHBOUR)
+        simulation.target = "zone-b"
+        self.check()
+
+    def test_a_silent_dispatcher_and_one_lost_stop(self):
+        simulation = self.simulation
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.silence_s = (1.15, 1.15)
+        simulation.lose_dispatcher("zone-a", True, False)
+        simulation.stops_lost_until = 1.65
+        simulation.target = "zone-b"
+        self.check()
+
+    def test_a_silent_dispatcher_whose_placer_dies_before_it_notices(self):
+        simulation = self.simulation
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.lose_dispatcher("zone-a", True, False)
+        simulation.target = "zone-b"
+        simulation.run_until(1.3)
+        simulation.lose_placer("zone-a")
+        self.check()
+
+    def test_a_run_that_a_successor_lists_late_and_two_lost_stops(self):
+        simulation = self.simulation
+        simulation.succeeded_after_s = (0.75, 0.75)
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.lose_dispatcher("zone-a", False, True)
+        simulation.stops_lost_until = 1.65
+        simulation.target = "zone-b"
+        self.check()
+
+    def test_a_job_in_another_zone_than_its_lost_dispatcher(self):
+        simulation = self.simulation
+        simulation.succeeded_after_s = (0.5, 0.5)
+        simulation.lose_placer("zone-a")
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.6)
+        simulation.submit("zone-b", NEIGHBOUR)
+        simulation.run_until(0.8)
+        simulation.stops_lost_until = 2.4
+        simulation.replaced_after_s = (0.05, 0.05)
+        simulation.lose_dispatcher("zone-a", False, False)
+        simulation.target = "zone-a"
+        self.check()
+
+
+class LostDispatchersTest(unittest.TestCase):
+    def check(self, simulation):
+        text = simulation.describe_violations()
+        self.assertEqual(simulation.server_pool.violations, [], text)
+
+    @hypothesis.settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @hypothesis.seed(20261205)
+    @hypothesis.given(seed=strategies.integers(0, 2**32))
+    def test_a_job_of_a_lost_dispatcher_never_runs_twice_at_once(self, seed):
+        simulation = Simulation(seed, draw_faults(seed)).run()
+        self.check(simulation)
+        false_refusals = {
+            job_id
+            for job_id, refusals in simulation.refusals.items()
+            if all(refusals)
+        } & simulation.server_pool.started_jobs
+        self.assertEqual(false_refusals, set())
+
+    def test_dispatchers_die_and_stops_fail(self):
+        simulation = Simulation(2, draw_faults(2)).run()
+        self.assertGreater(simulation.death_counts["killed"], 0)
+        self.assertGreater(simulation.death_counts["silent"], 0)
+        self.assertGreater(simulation.death_counts["with placer"], 0)
+        self.assertGreater(simulation.stop_counts["lost"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
