Outages of stop orders, and successors that know too little (red)

Cause: stop orders that fail one by one seldom outlast 1.3 s; two more sequences were seen in traces: a successor that doesn't reach the server of a lost job, and one that was told late that another zone may run a job.

--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -57,12 +57,14 @@
     """Two zones, each with one dispatcher and successive placers.
 
     Attributes:
+        arrival_rate: Chance of a new job in a tick.
         leave_rate: Share of the clients that leave before the answer.
         take_over_rate: Chance of a new placer in a tick.
         break_rate: Chance that a link breaks in a tick.
         clients: Job and remaining tries of each client, by its callback.
     """
 
+    arrival_rate = 0.06
     leave_rate = 0.15
     take_over_rate = 0.006
     break_rate = 0.02
@@ -340,7 +342,10 @@
     def run(self):
         numbers = itertools.count(1)
         while self.now < END_S:
-            if self.now < END_S - 4 and self.random.random() < 0.06:
+            if (
+                self.now < END_S - 4
+                and self.random.random() < self.arrival_rate
+            ):
                 job_id = f"{next(numbers):016x}"
                 self.server_pool.job_length_s[job_id] = self.random.choice(
                     (0.05, 0.3, 0.9, 1.6, 2.5)
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -31,6 +31,8 @@
 
     Attributes:
         stop_rate: Share of the stop orders that fail; polls work.
+        outage_rate: Chance in a tick that no stop orders reach a backend
+            server for some time; polls do.
         killed_rate: Chance in a tick that a dispatcher is killed.
         silent_rate: Chance in a tick that a dispatcher falls silent.
         placer_share: Share of these that take the placer of the zone along.
@@ -42,6 +44,7 @@
     """
 
     stop_rate: float = 0.0
+    outage_rate: float = 0.0
     killed_rate: float = 0.0
     silent_rate: float = 0.0
     placer_share: float = 0.0
@@ -53,6 +56,7 @@
 
 ALL_FAULTS = Faults(
     stop_rate=0.3,
+    outage_rate=0.01,
     killed_rate=0.004,
     silent_rate=0.004,
     placer_share=0.5,
@@ -75,6 +79,7 @@
         silence_s: The same until a placer notices that it is silent.
     """
 
+    arrival_rate = 0.1
     leave_rate = 0.25
     replaced_after_s = (0.05, 2.0)
     succeeded_after_s = (0.05, 1.0)
@@ -88,6 +93,7 @@
         self.server_pool.shows_progress = True
         self.dead = set()
         self.cut_until = 0.0
+        self.outage_until = {}
         self.history = collections.defaultdict(list)
         self.zone_history = []
         self.death_counts = collections.Counter()
@@ -136,15 +142,19 @@
 
     # Faults
 
-    def draw_stop_fault(self):
+    def draw_stop_fault(self, server_id):
+        if self.now < self.outage_until.get(server_id, 0.0):
+            return "lost"
         if self.random.random() < self.faults.stop_rate:
             return self.random.choice(("lost", "late", "no answer"))
         return "none"
 
     def draw_stop_delays(self, run):
         delays = self.draw_delays()
-        fault = self.draw_stop_fault()
+        fault = self.draw_stop_fault(run.server.id)
         self.stop_counts[fault] += 1
+        fake_server = self.server_pool.servers[run.server.id]
+        self.stop_counts["beside others"] += len(fake_server.runs) > 1
         self.note(
             run.key.job_id,
             f"stop of run {run.number} of {run.key} on {run.server.id},"
@@ -181,10 +191,7 @@
         """Ends a dispatcher; its clients send their jobs again."""
         kind = "silent" if is_silent else "killed"
         self.death_counts[kind] += 1
-        self.note_zone(
-            f"{kind}: dispatcher of {dispatcher}"
-            + " and placer" * bool(takes_placer)
-        )
+        self.note_zone(f"{kind}: dispatcher of {dispatcher}")
         self.death_counts["with placer"] += takes_placer
         self.dead.add(dispatcher)
         self._lose_clients(dispatcher, is_silent)
@@ -257,6 +264,7 @@
         former = zone.owner
         if former is None:
             return
+        self.note_zone(f"placer of {zone_name} dies")
         former.is_closed = True
         zone.owner = None
         if self.random.random() < 0.5:
@@ -299,10 +307,11 @@
                 continue
             self.at(
                 self.now + self.random.uniform(0.0005, 0.003),
-                lambda at, z=zone: self._learn(z, job_id, running_zone, at),
+                lambda at, z=zone: self.learn(z, job_id, running_zone, at),
             )
 
-    def _learn(self, zone, job_id, running_zone, now):
+    def learn(self, zone, job_id, running_zone, now):
+        """Delivers to a zone that another one may run a job."""
         self.note(job_id, f"{zone} learns that {running_zone} may run it")
         owner = self.zones[zone].owner
         if owner is not None and not owner.is_closed:
@@ -354,6 +363,11 @@
                     is_silent,
                     self.random.random() < faults.placer_share,
                 )
+        if faults.outage_rate and self.random.random() < faults.outage_rate:
+            server_id = self.random.choice(list(self.server_pool.servers))
+            until = self.now + self.random.uniform(0.2, 2.5)
+            self.outage_until[server_id] = until
+            self.note_zone(f"no stops reach {server_id} until {until:.3f}")
         if faults.has_cuts and self.random.random() < 0.003:
             self.cut_until = self.now + self.random.uniform(0.1, 2.0)
 
@@ -390,18 +404,26 @@
 
     Attributes:
         stops_lost_until: Until when all stop orders are lost.
+        unreachable_until: Until when new placers don't reach a server, by id.
+        target: The dispatcher that clients reach.
     """
 
     def __init__(self):
         super().__init__(0, Faults())
         self.random = _NoChance()
         self.stops_lost_until = 0.0
+        self.unreachable_until = {}
         self.target = ZONES[0]
         self.run_until(0.2)
 
-    def draw_stop_fault(self):
+    def draw_stop_fault(self, server_id):
         return "lost" if self.now < self.stops_lost_until else "none"
 
+    def _own(self, zone_name, epoch, now):
+        super()._own(zone_name, epoch, now)
+        owner = self.zones[zone_name].owner
+        owner.unreachable_until.update(self.unreachable_until)
+
     def choose_dispatcher(self):
         return self.target
 
@@ -510,6 +532,29 @@
         simulation.target = "zone-a"
         self.check()
 
+    def test_a_successor_that_does_not_reach_the_server_of_a_lost_job(self):
+        simulation = self.simulation
+        simulation.replaced_after_s = (0.1, 0.1)
+        simulation.succeeded_after_s = (0.3, 0.3)
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.lose_dispatcher("zone-a", True, False)
+        simulation.run_until(1.0)
+        simulation.unreachable_until["zone-a-0"] = 2.0
+        simulation.lose_placer("zone-a")
+        self.check()
+
+    def test_a_successor_that_is_told_of_another_zone(self):
+        simulation = self.simulation
+        simulation.succeeded_after_s = (0.1, 0.1)
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        # As from a dispatcher of zone-b whose link to zone-a was down.
+        simulation.learn("zone-a", JOB, "zone-b", 0.4)
+        simulation.run_until(0.6)
+        simulation.lose_placer("zone-a")
+        self.check()
+
 
 class LostDispatchersTest(unittest.TestCase):
     def check(self, simulation):
@@ -529,6 +574,11 @@
         } & simulation.server_pool.started_jobs
         self.assertEqual(false_refusals, set())
 
+    def test_seeds_that_failed(self):
+        for seed in (6, 35, 42, 67, 80, 81):
+            with self.subTest(seed=seed):
+                self.check(Simulation(seed, draw_faults(seed)).run())
+
     def test_dispatchers_die_and_stops_fail(self):
         simulation = Simulation(2, draw_faults(2)).run()
         self.assertGreater(simulation.death_counts["killed"], 0)
