--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -22,6 +22,7 @@
 TICK_S = 0.01
 END_S = 8.0
 RETRY_DELAY_S = 1.3  # retransmitMs of the platform
+SHARE_DELAY_S = 0.002  # of a message between placers
 ZONES = ("zone-a", "zone-b")
 SERVERS_PER_ZONE = 2
 EXAMPLES = int(os.environ.get("ACACIALINE_EXAMPLES", "25"))
@@ -145,6 +146,23 @@
         zone = owner.placer.tables.zone
         self._tell_candidates(zone, job_id, zone)
 
+    def share_with_all_zones(self, owner, job_id):
+        """Tells the placers and candidates of all zones where a job may run."""
+        self.share(owner, job_id)
+        for zone in ZONES:
+            if zone != owner.zone:
+                self.at(
+                    self.now + SHARE_DELAY_S,
+                    lambda at, z=zone: self.learn(z, job_id, owner.zone, at),
+                )
+
+    def learn(self, zone, job_id, running_zone, now):
+        """Delivers to a zone that another one may run a job."""
+        owner = self.zones[zone].owner
+        if owner is not None and not owner.is_closed:
+            owner.placer.record_remote_job(job_id, running_zone, now)
+        self._tell_candidates(zone, job_id, running_zone)
+
     def _tell_candidates(self, zone, job_id, running_zone):
         until = self.now + 2.0 + build.LEASE_TIMES.lost_owner_s
         zonetables.record_remote_job(
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -313,10 +313,7 @@
     def learn(self, zone, job_id, running_zone, now):
         """Delivers to a zone that another one may run a job."""
         self.note(job_id, f"{zone} learns that {running_zone} may run it")
-        owner = self.zones[zone].owner
-        if owner is not None and not owner.is_closed:
-            owner.placer.record_remote_job(job_id, running_zone, now)
-        self._tell_candidates(zone, job_id, running_zone)
+        super().learn(zone, job_id, running_zone, now)
 
     # Clients
 
--- a/acacialine/tests/test_placer_properties.py
+++ b/acacialine/tests/test_placer_properties.py
@@ -50,6 +50,9 @@
     def share(self, owner, job_id):
         """A single zone without spare candidates has nobody to tell."""
 
+    def share_with_all_zones(self, owner, job_id):
+        """There is no other zone to tell."""
+
     def share_losses(self, owner, key, task_losses):
         """Nobody else needs to know."""
 
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -75,8 +75,8 @@
 class Owner:
     """One placer and its simulated connections to the backend servers.
 
-    The simulation provides `answer`, `share`, `share_losses` and
-    `hand_over_fenced`.
+    The simulation provides `answer`, `share`, `share_with_all_zones`,
+    `share_losses` and `hand_over_fenced`.
     """
 
     def __init__(self, simulation, epoch, now, zone="zone-a"):
@@ -122,6 +122,8 @@
                     self.simulation.answer(self, order)
                 case orders.ShareJob(job_id):
                     self.simulation.share(self, job_id)
+                case orders.AnnounceJob(job_id):
+                    self.simulation.share_with_all_zones(self, job_id)
                 case orders.ShareLosses(key, task_losses):
                     self.simulation.share_losses(self, key, task_losses)
 
