A job that two zones may run waits for both

Cause: a placer knew one zone for a job and trusted it over all else. The successor of a placer that had started the job was told that another zone might run it, too, and sent it there, away from the runs of its own zone. Two zones that knew each other's name passed the job to and fro until its deadline. Change: only a job that no placer had before is sent elsewhere. One that may have started here waits until the runs of the other zone must have ended, and so do the waiting tasks of an open job. A pause of the process no longer shortens such a wait.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -127,7 +127,8 @@
 
         A job that is already open gets one more origin. One that completed or
         failed a short time ago gets the same answer again. One that another
-        zone may still run is answered with the name of that zone.
+        zone may still run is answered with the name of that zone, or waits if
+        it may have started here too.
         """
         tables = self.tables
         job = tables.jobs.get(submission.job_id)
@@ -144,7 +145,8 @@
             submission = attrs.evolve(
                 submission, handovers=max(1, submission.handovers)
             )
-        elif remote is not None:
+            remote = None
+        elif remote is not None and not submission.handovers:
             self._send_elsewhere(submission.job_id, (origin,), remote.zone)
             return
         ended_job = tables.ended_jobs.get(submission.job_id)
@@ -159,6 +161,8 @@
             )
             return
         job = self._new_job(submission, origin, ended_job, now)
+        if remote is not None:
+            job.not_before = remote.until
         if submission.handovers:
             self.runs.adopt(job)
         if tables.losses.is_given_up(job.id):
@@ -284,18 +288,19 @@
     def record_remote_job(self, job_id: str, zone: str, now: float) -> None:
         """Records that a zone may run a job for which no client waits now.
 
-        In another zone than `zone` the job must not start until its runs
-        there have ended; one that waits here is sent there. A successor in
-        that zone treats it as handed over.
+        In another zone than `zone` no task of the job may start until its
+        runs there have ended: one that has not started here is sent there, any
+        other waits. A successor in that zone treats it as handed over.
         """
+        until = now + KEPT_JOB_S + self.runs.lease_times.lost_owner_s
         zonetables.record_remote_job(
-            self.tables.remote_jobs,
-            job_id,
-            zone,
-            now + KEPT_JOB_S + self.runs.lease_times.lost_owner_s,
+            self.tables.remote_jobs, job_id, zone, until
         )
         job = self.tables.jobs.get(job_id)
-        if job is None or job.possible_starts or zone == self.tables.zone:
+        if job is None or zone == self.tables.zone:
+            return
+        if job.possible_starts:
+            job.not_before = max(job.not_before, until)
             return
         del self.tables.jobs[job_id]
         self._send_elsewhere(job_id, tuple(job.origins), zone)
@@ -443,7 +448,7 @@
         for server in self.tables.servers.values():
             server.runs_listed = False
         for job in self.tables.jobs.values():
-            job.not_before = now + PAUSE_RECOVERY_S
+            job.not_before = max(job.not_before, now + PAUSE_RECOVERY_S)
 
     # Ticks
 
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -119,6 +119,31 @@
         self.assertEqual(answer.reason, "zone-b")
         self.assertNotIn(waiting_id, placer.tables.jobs)
 
+    def test_a_job_that_two_zones_may_run_starts_in_neither_meanwhile(self):
+        placer = build.placer()
+        job_id = build.submission().job_id
+        placer.record_remote_job(job_id, "zone-b", 0.0)
+        new_orders = self.submit(placer, 0.1, handovers=1, left_s=9.0)
+        self.assertEqual(build.starts(new_orders), [])
+        self.assertEqual(build.answers(new_orders), [])
+        until = placer.tables.remote_jobs[job_id].until
+        placer.handle_process_pause(0.2)
+        (server,) = placer.tables.servers.values()
+        self.assertEqual(build.starts(self.poll(placer, server, 0.9)), [])
+        placer.tick(until + 0.01)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
+    def test_a_started_job_that_another_zone_may_run_starts_no_more(self):
+        placer = build.placer(build.server(cpu=7000))
+        (run,) = build.starts(self.submit(placer, left_s=9.0))
+        self.confirm(placer, [run])
+        placer.record_remote_job(run.key.job_id, "zone-b", 0.1)
+        ended = self.poll(
+            placer, run.server, 0.2, ended=[self.done_row(1, run)]
+        )
+        self.assertEqual(build.starts(ended), [])
+        self.assertEqual(build.answers(ended), [])
+
     def test_the_log_tells_of_a_run_that_goes_on_without_a_job(self):
         placer = build.placer()
         (run,) = build.starts(self.submit(placer, step=build.step(1)))
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -273,7 +273,8 @@
             because an earlier owner may still run it.
         first_start_at: When its first task was started; None before.
         not_before: No task starts before this time, because its dispatcher
-            may have moved it to another placer while this one was paused.
+            may have moved it to another placer while this one was paused, or
+            another zone may run it too.
         waiting: Indices of tasks that are to be started.
         done: Indices of tasks that are done.
         runs: Live run of each task, by index.
