--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -26,7 +26,6 @@
 SPILL_FREE_SLOTS = 4
 REPORT_MAX_AGE_S = 1.5  # older reports of free slots are ignored
 DEFAULT_RETRY_AFTER_S = 1.0  # if no placer predicts when slots become free
-REDIRECT_DELAY_S = 0.1  # before a job is redirected once more
 # All placers must have confirmed a kept job by then, else it is cancelled. With
 # the longest lease this ends before a client sends its job again.
 KEEP_CONFIRM_TIMEOUT_S = 0.2
@@ -85,7 +84,6 @@
             run the job.
         handovers: How many earlier placers may have started tasks of it.
         was_spilled: Whether it was sent to another zone for lack of slots.
-        was_redirected: Whether a placer sent it to another zone.
         not_before: Earliest time of the next handover.
     """
 
@@ -98,7 +96,6 @@
     placer_lost_zone: str = ""
     handovers: int = 0
     was_spilled: bool = False
-    was_redirected: bool = False
     not_before: float = 0.0
 
 
@@ -552,16 +549,11 @@
             zone=zone,
             age_ms=round((now - request.received_at) * 1000),
         )
-        if request.was_redirected:
-            # Two zones that may both run it must not pass it to and fro.
-            request.not_before = now + REDIRECT_DELAY_S
-        request.was_redirected = True
         request.placer = None
         request.handovers += 1
         request.placer_lost_at = now
         request.placer_lost_zone = zone
-        if now >= request.not_before:
-            self._hand_over(request, now)
+        self._hand_over(request, now)
 
     def _handle_not_run(
         self, request: Request, reason: str, retry_after_s: float, now: float
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -269,16 +269,6 @@
         self.tick(1.0)
         self.assertIs(self.answers[0].kind, intake_lib.AnswerKind.UNKNOWN)
 
-    def test_two_zones_do_not_pass_a_job_to_and_fro_at_once(self):
-        self.set_placers(0.0, placer(), placer("p2", "zone-b"))
-        self.receive()
-        (order,) = self.receive_verdict("p1", "elsewhere", "zone-b")
-        self.assertEqual(order.placer.peer_id, "p2")
-        self.assertEqual(self.receive_verdict("p2", "elsewhere", "zone-a"), [])
-        self.assertEqual(self.tick(0.15), [])
-        (order,) = self.tick(0.2)
-        self.assertEqual(order.placer.peer_id, "p1")
-
     def test_verdicts_of_an_earlier_placer_are_ignored(self):
         self.set_placers(0.0, placer())
         self.receive()
