Jobs of a dispatcher that may be lost are announced before it counts as lost

Callers: a task could run twice when a dispatcher fell silent and the placer of its jobs was lost before it noticed. Cause: a placer learns after 1.0 to 1.15 s that a dispatcher is silent. If it is lost itself meanwhile, nobody has told the other zones; its successor lists the runs later than 1.3 s after the dispatcher's death, when the clients are back. Change: after 0.6 s of silence on a link that carries jobs, the placer announces the jobs that have runs; they end after 1 s as before.

--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -30,6 +30,9 @@
 # its dialler may send a job again 1.3 s after they got no answer. Other links
 # may be silent for longer, in proportion to the gap between their heartbeats.
 ACCEPTED_SILENCE_LIMIT_S = 1.0
+# Silence after which it is suspected to have failed; longer than the interval
+# of its heartbeats.
+SUSPECT_SILENCE_S = 0.6
 # A link counts as carrying jobs for this long after one. Its dialler sends
 # heartbeats at least every SLOW_HEARTBEAT_INTERVAL_S a little longer.
 CARRIES_JOBS_S = 10.0
@@ -203,6 +206,8 @@
         heartbeat_gap_s: Time between the last two heartbeats; the longest
             interval until two have arrived.
         is_silent: Whether the link ended because no message arrived.
+        is_suspect: Whether a link that carries jobs has been silent for
+            SUSPECT_SILENCE_S.
     """
 
     peer_id: str
@@ -210,6 +215,7 @@
     heard_at: float
     heartbeat_gap_s: float = IDLE_HEARTBEAT_INTERVAL_S
     is_silent: bool = False
+    is_suspect: bool = False
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _heartbeat_at: float = 0.0
     _job_at: float = -1e9
@@ -224,10 +230,21 @@
             self.heartbeat_gap_s = now - self._heartbeat_at
         self._heartbeat_at = now
 
+    def becomes_suspect(self, now: float) -> bool:
+        """Updates `is_suspect`; returns whether it has become true."""
+        was_suspect = self.is_suspect
+        self.is_suspect = (
+            self._carries_jobs(now) and now - self.heard_at > SUSPECT_SILENCE_S
+        )
+        return self.is_suspect and not was_suspect
+
+    def _carries_jobs(self, now: float) -> bool:
+        return now - self._job_at <= CARRIES_JOBS_S
+
     def has_failed(self, now: float) -> bool:
         """Returns whether the peer has been silent for too long."""
         limit_s = ACCEPTED_SILENCE_LIMIT_S
-        if now - self._job_at > CARRIES_JOBS_S:
+        if not self._carries_jobs(now):
             gap_s = min(self.heartbeat_gap_s, IDLE_HEARTBEAT_INTERVAL_S)
             limit_s = max(limit_s, gap_s * SILENT_INTERVALS)
         return now - self.heard_at > limit_s
@@ -399,6 +416,7 @@
         on_message: Called with each message on a dialled link, and whether it
             equals the last heartbeat.
         on_request: The same for the accepted links.
+        on_session_suspect: Called when an accepted link may have failed.
         on_session_closed: Called when an accepted link has ended.
         on_link_opened: Called after the first heartbeat on a dialled link.
         on_link_closed: Called with the reason when an open link has ended.
@@ -413,6 +431,7 @@
     build_heartbeat: collections.abc.Callable[[], messages.ZoneState]
     on_message: collections.abc.Callable
     on_request: collections.abc.Callable
+    on_session_suspect: collections.abc.Callable
     on_session_closed: collections.abc.Callable
     on_link_opened: collections.abc.Callable
     on_link_closed: collections.abc.Callable
@@ -519,3 +538,5 @@
                 if session.has_failed(now):
                     session.is_silent = True
                     session.scope.cancel()
+                elif session.becomes_suspect(now):
+                    self.on_session_suspect(session)
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -314,6 +314,15 @@
             )
         )
 
+    def announce_jobs_of(self, origin, now: float) -> None:
+        """Tells all zones of the jobs of a dispatcher that may be lost.
+
+        This placer may be lost too before it has ended them.
+        """
+        for job in self.tables.jobs.values():
+            if job.origins == {origin} and job.runs:
+                self.runs.announce(job.id, now)
+
     def remove_origin(self, origin, is_silent: bool, now: float) -> None:
         """Removes the session of an unreachable dispatcher from all jobs.
 
@@ -328,6 +337,8 @@
                 being closed.
             now: The current time.
         """
+        if is_silent:
+            self.announce_jobs_of(origin, now)
         for job in list(self.tables.jobs.values()):
             if origin not in job.origins:
                 continue
@@ -335,8 +346,6 @@
                 job.origins.clear()
                 job.orphaned_at = now
             else:
-                if job.origins == {origin} and job.runs:
-                    self.runs.announce(job.id, now)
                 self.cancel(job.id, origin, "entry lost", now)
 
     def _end_orphaned_jobs(self, now: float) -> None:
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -252,11 +252,9 @@
             owner.placer.remove_origin(session, True, now)
 
     def suspect_origin(self, owner, session, now):
-        """HOOK: the placer of `owner` is to share the jobs of `session`.
-
-        Called SUSPECT_AFTER_S after the last message of a silent dispatcher.
-        The placer has no such method yet.
-        """
+        """Lets a placer notice that a dispatcher may be lost."""
+        if not owner.is_closed and now >= owner.paused_until:
+            owner.placer.announce_jobs_of(session, now)
 
     def lose_placer(self, zone_name):
         """Ends the process of a placer; a successor knows no unclaimed jobs."""
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -36,6 +36,7 @@
         self.state = new_state(str(self.incarnation))
         self.requests = []
         self.replies = []
+        self.suspected = []
         self.closed = []
         self.rejected = []
         self.errors = []
@@ -46,6 +47,7 @@
             lambda: self.state,
             self._on_message,
             self._on_request,
+            self.suspected.append,
             self.closed.append,
             lambda link: None,
             lambda link, reason: self.closed.append(reason),
@@ -179,6 +181,9 @@
             self.assertGreaterEqual(len(acceptor.requests), count + 4)
             (session,) = set(acceptor.sessions)
             now = session.heard_at
+            self.assertFalse(session.becomes_suspect(now + 0.55))
+            self.assertTrue(session.becomes_suspect(now + 0.65))
+            self.assertFalse(session.becomes_suspect(now + 0.8))
             self.assertFalse(session.has_failed(now + 0.95))
             self.assertTrue(session.has_failed(now + 1.05))
 
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -343,6 +343,17 @@
         announced = build.announced(placer.take_orders())
         self.assertEqual(announced, [run.key.job_id])
 
+    def test_all_zones_learn_of_the_runs_of_a_suspect_dispatcher_early(self):
+        placer = build.placer()
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        placer.announce_jobs_of("other dispatcher", 0.6)
+        self.assertEqual(build.announced(placer.take_orders()), [])
+        placer.announce_jobs_of("dispatcher", 0.6)
+        new_orders = placer.take_orders()
+        self.assertEqual(build.announced(new_orders), [run.key.job_id])
+        self.assertEqual(build.stops(new_orders), [])
+
     def test_no_task_starts_on_an_old_list_of_servers(self):
         # Servers may have left since the list was read, and a server that
         # drains must get no task.
