An outdated response of an earlier incarnation is ignored

Callers would see their task run twice: a poll response of an earlier incarnation that is processed after one of the current incarnation counted as a restart. It ended the living runs as CRASHED, so their tasks started elsewhere. Its clock was recorded too, so the next leases and start orders got deadlines far ahead on the clock of the current incarnation. A 421 of that time ended the runs in the same way (`record_replacement`).

Cause: any incarnation other than the known one was taken for a later one. Polls run on several connections at once and responses overtake each other. Reachable if a server restarts within the time limit of a poll (0.3 to 0.7 s).

Why it works: a poll that was sent after the current incarnation was first seen can only have reached it or a later one. A response with another incarnation to a poll sent before is ambiguous and ignored: nothing ends, its clock is not recorded and its connection is not used, and the next poll decides. The clock of a server is now recorded by `apply_poll` instead of by the client.

--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -285,10 +285,16 @@
 
     def _handle_poll_response(
         self, reply: httppool_lib.Reply, sent_at: float
-    ) -> None:
+    ) -> int:
+        """Reports the result of a poll; returns the incarnation of its server.
+
+        Raises:
+            FencedError: The server obeys another owner.
+            PollError: The response contains no result.
+        """
         if reply.status == 409 and _reason(reply) == "fence":
             raise FencedError
-        if reply.status == 421:
+        if reply.status == 421 and not self.server.may_be_outdated(sent_at):
             raise ReplacedError("another incarnation has its address")
         if reply.status != 200:
             raise PollError(f"status {reply.status}")
@@ -296,8 +302,8 @@
             response = _decode_poll_response(reply.body)
         except ValueError as error:
             raise PollError(f"malformed response: {error!r}") from error
-        leases.observe_clock(self.server, response.server_clock_ms, clock.now())
         self.observer.handle_poll_result(self.server, response, sent_at)
+        return response.incarnation
 
     async def _poll_new_connection(
         self, connection: httppool_lib.Connection
@@ -318,7 +324,7 @@
         with trio.fail_after(POLL_TIMEOUT_S):
             reply = await connection.exchange(self._new_poll_request(lease, 0))
         try:
-            self._handle_poll_response(reply, sent_at)
+            incarnation = self._handle_poll_response(reply, sent_at)
         except FencedError as error:
             self.observer.handle_fenced(self.server)
             raise httppool_lib.NotSentError("fenced") from error
@@ -328,6 +334,8 @@
             raise httppool_lib.NotSentError(repr(error)) from error
         if was_listed and self.server.incarnation != known_incarnation:
             raise httppool_lib.NotSentError("the backend server has restarted")
+        if incarnation != self.server.incarnation:
+            raise httppool_lib.NotSentError("reached another incarnation")
 
     def close(self) -> None:
         """Closes all connections and fails the requests in flight."""
--- a/acacialine/tests/test_httppool.py
+++ b/acacialine/tests/test_httppool.py
@@ -1,5 +1,6 @@
 """HTTP client: what each kind of answer, or its lack, proves about a call."""
 
+import collections
 import contextlib
 import unittest
 from unittest import mock
@@ -482,6 +483,54 @@
 
         self.run_scenario(scenario, answer)
 
+    def test_an_outdated_response_does_not_set_the_clock_of_its_server(self):
+        bodies = collections.deque(
+            (
+                b'{"clockMs":900000,"born":1,"running":[],"endedRuns":[]}',
+                b'{"clockMs":10,"born":2,"running":[],"endedRuns":[]}',
+            )
+        )
+        deadlines_ms = []
+
+        async def answer(request):
+            body = bodies[0]
+            if len(bodies) > 1:
+                bodies.popleft()
+                await trio.sleep(0.1)
+            return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
+                len(body),
+                body,
+            )
+
+        async def scenario(server, nursery):
+            placer = build.placer(build.server(address=server.address))
+            (listed,) = placer.tables.servers.values()
+            observer = build.ServerObserver()
+
+            def apply_poll(polled, result, sent_at):
+                now = clock.now()
+                placer.runs.apply_poll(polled, result, sent_at, now)
+                lease = leases.new_lease(polled, 1.0, now)
+                deadlines_ms.append(lease.deadline_ms)
+
+            observer.handle_poll_result = apply_poll
+            client = serverclient.ServerClient(
+                listed, 1, 1.0, observer, httppool.Deadlines(), nursery
+            )
+            client.poll(0.0)
+            with trio.fail_after(5):
+                while not server.requests:
+                    await trio.sleep(0.005)
+                client.poll(0.0)
+                while len(observer.poll_errors) < 2:
+                    await trio.sleep(0.005)
+            self.assertLess(max(deadlines_ms), 10_000)
+            # The connection to the earlier incarnation is not used again.
+            self.assertEqual(len(server.requests), 2)
+            client.close()
+
+        self.run_scenario(scenario, answer)
+
 
 class FencedTest(PoolCase):
     def test_an_owner_learns_from_a_new_connection_that_it_is_fenced(self):
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -485,6 +485,21 @@
         # Its new capacity is unknown until the store announces it.
         self.assertFalse(server.runs_listed)
 
+    def test_an_outdated_response_of_an_earlier_incarnation_ends_no_run(self):
+        placer = build.placer()
+        server = placer.tables.servers["i-1"]
+        restarted = orders.PollResult(2, 10, (), ())
+        placer.runs.apply_poll(server, restarted, 0.1, 0.11)
+        runs = build.starts(self.submit(placer, 0.12))
+        self.confirm(placer, runs, 0.13)
+        outdated = orders.PollResult(1, 900_000, (), ())
+        placer.runs.apply_poll(server, outdated, 0.105, 0.2)
+        self.assertEqual(list(server.runs.values()), runs)
+        self.assertEqual(server.incarnation, 2)
+        # One that was sent later proves a restart.
+        placer.runs.apply_poll(server, outdated, 0.21, 0.22)
+        self.assertEqual(server.runs, {})
+
     def test_no_task_starts_on_a_server_with_an_unclaimed_run(self):
         placer = build.placer()
         server = placer.tables.servers["i-1"]
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -7,6 +7,7 @@
 from acacialine import clock
 from acacialine import httppool
 from acacialine import leases
+from acacialine import orders
 from acacialine.platform import serverclient
 from acacialine.tests import support
 from acacialine.tests import zonebuilders as build
@@ -65,6 +66,31 @@
 
         support.run(scenario)
 
+    def test_an_outdated_421_does_not_tell_that_a_server_was_replaced(self):
+        async def scenario():
+            placer = build.placer()
+            (server,) = placer.tables.servers.values()
+
+            async def answer(stream):
+                await stream.receive_some(65536)
+                now = clock.now()
+                restarted = orders.PollResult(2, 10, (), ())
+                placer.runs.apply_poll(server, restarted, now, now)
+                await stream.send_all(
+                    b"HTTP/1.1 421 Misdirected Request\r\n"
+                    b"Content-Length: 0\r\n\r\n"
+                )
+
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                server.address = listeners[0].socket.getsockname()
+                nursery.start_soon(trio.serve_listeners, answer, listeners)
+                error = await poll(server)
+                self.assertNotIsInstance(error, serverclient.ReplacedError)
+                nursery.cancel_scope.cancel()
+
+        support.run(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -47,7 +47,6 @@
     built.runs.apply_servers(list(servers) or [server()], now)
     for polled in built.tables.servers.values():
         observation = orders.PollResult(1, 1000, (), ())
-        leases.observe_clock(polled, 1000, now)
         built.runs.apply_poll(polled, observation, now, now)
     built.take_orders()
     return built
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -159,9 +159,6 @@
                 if observation is None:
                     self._handle_fenced()
                     return
-                leases.observe_clock(
-                    server, observation.server_clock_ms, received_at
-                )
                 self.placer.runs.apply_poll(
                     server, observation, now, received_at
                 )
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -410,16 +410,23 @@
     ) -> None:
         """Applies the result of a poll of a backend server.
 
+        One that may come from an earlier incarnation is ignored.
+
         Args:
             server: The server that was polled.
             poll_result: The response, with its running and ended runs.
             polled_at: When the poll was sent.
             now: The current time.
         """
+        if poll_result.incarnation != server.incarnation:
+            if server.may_be_outdated(polled_at):
+                return
+            if server.incarnation:
+                self._handle_restart(server, poll_result, now)
+            server.incarnation = poll_result.incarnation
+            server.incarnation_seen_at = now
         serverhealth.record_response(server)
-        if server.incarnation and poll_result.incarnation != server.incarnation:
-            self._handle_restart(server, poll_result, now)
-        server.incarnation = poll_result.incarnation
+        leases.observe_clock(server, poll_result.server_clock_ms, now)
         self._retract_losses(server, now)
         for row in poll_result.ended:
             self._record_end(server, row, now)
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -176,6 +176,7 @@
         is_in_store: Whether the store lists it.
         incarnation: Start of its process in ms since 1970, as it reports
             it; 0 before the first poll.
+        incarnation_seen_at: When the first response of its incarnation arrived.
         announced_incarnation: Incarnation that the store announces; 0 if none.
         runs_listed: Whether a poll has listed its runs since this placer
             became its owner, the server restarted or this process was
@@ -213,6 +214,7 @@
     cold_until: float = 0.0
     is_in_store: bool = True
     incarnation: int = 0
+    incarnation_seen_at: float = 0.0
     announced_incarnation: int = 0
     runs_listed: bool = False
     used: resources_lib.Resources = resources_lib.NO_RESOURCES
@@ -238,6 +240,16 @@
     def __attrs_post_init__(self):
         self.free = self.capacity - self.used
 
+    def may_be_outdated(self, sent_at: float) -> bool:
+        """Returns whether an earlier incarnation may have got a request.
+
+        Incarnations cannot be ordered by their number: clocks jump.
+
+        Args:
+            sent_at: When the request was sent.
+        """
+        return sent_at < self.incarnation_seen_at
+
     def occupy(self, demand: resources_lib.Resources) -> None:
         """Takes a demand from the free capacity."""
         self.used = self.used + demand
