A start that waits for a connection does not outlive its incarnation

Callers would see a task run twice: a start that waited for a connection while another connection showed a restart was sent to the new incarnation, although the restart had ended its run and the task may have started elsewhere. It also carried a deadline on the clock of the earlier incarnation.

Cause: a new connection compares the incarnation with the one known when its first poll was sent. If the restart became known before, they are equal, and the start that opened the connection is not compared with anything.

Evidence: the test failed before: AssertionError: [b'POST /acacialine/run-start HTTP/1.1\r\n... is not false

Why it works: a start remembers the incarnation for which it was decided, and is checked right before it is written. The connection belongs to the incarnation that is known then, or its first poll failed.

--- a/acacialine/httppool.py
+++ b/acacialine/httppool.py
@@ -374,6 +374,8 @@
         on_reply: Called with the reply.
         on_failure: Called instead with a `NotSentError` or `NoAnswerError`.
         not_after: Time after which the call must not be sent; None for any.
+        may_send: Returns whether the call may still be sent; None if it always
+            may.
         on_sent: Called when a part of the call may have reached the server;
             None for nothing to call.
         is_done: Whether one of the two was called.
@@ -385,6 +387,7 @@
     on_failure: collections.abc.Callable[[NotSentError | NoAnswerError], None]
     not_after: float | None = None
     on_sent: collections.abc.Callable[[], None] | None = None
+    may_send: collections.abc.Callable[[], bool] | None = None
     is_done: bool = False
 
 
@@ -464,6 +467,10 @@
             self._release(connection)
             self._fail(call, NotSentError("the time limit for sending passed"))
             return
+        if call.may_send is not None and not call.may_send():
+            self._release(connection)
+            self._fail(call, NotSentError("outdated before it was sent"))
+            return
         try:
             connection.send(call.request)
         except NotSentError as error:
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -168,6 +168,10 @@
         lease = leases.new_lease(self.server, self.lease_s, now)
         run.not_after = max(run.not_after, lease.ends_by)
         run.may_have_started = False
+        incarnation = self.server.incarnation
+
+        def may_send() -> bool:
+            return self.server.incarnation == incarnation
 
         def on_sent() -> None:
             run.may_have_started = True
@@ -200,6 +204,7 @@
                 on_failure,
                 run.sent_at + START_MAX_AGE_S,
                 on_sent,
+                may_send,
             )
         )
 
--- a/acacialine/tests/test_httppool.py
+++ b/acacialine/tests/test_httppool.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 import msgspec
 import trio
+import trio.testing
 
 from acacialine import clock
 from acacialine import httppool
@@ -483,6 +484,53 @@
 
         self.run_scenario(scenario, answer)
 
+    def test_no_start_that_waits_for_a_connection_outlives_its_life(self):
+        async def answer(request):
+            body = (
+                b'{"clockMs":10,"born":2,"running":[],"endedRuns":[]}'
+                if b"/hold" in request
+                else b'{"clockMs":10}'
+            )
+            return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
+                len(body),
+                body,
+            )
+
+        delays_s = [0.05]
+        connect = httppool.connect
+
+        async def connect_slowly(*args):
+            if delays_s:
+                await trio.sleep(delays_s.pop())
+            return await connect(*args)
+
+        async def scenario(server, nursery):
+            placer = build.placer(build.server(address=server.address))
+            (listed,) = placer.tables.servers.values()
+            observer = build.ServerObserver()
+            observer.handle_poll_result = lambda polled, result, sent_at: (
+                placer.runs.apply_poll(polled, result, sent_at, clock.now())
+            )
+            client = serverclient.ServerClient(
+                listed, 1, 1.0, observer, httppool.Deadlines(), nursery
+            )
+            leases.observe_clock(listed, 1000, clock.now())
+            placer.submit(build.submission(), "entry", clock.now())
+            placer.tick(clock.now())
+            run, _ = build.starts(placer.take_orders())
+            client.start(run)
+            await trio.testing.wait_all_tasks_blocked()
+            client.poll(0.0)  # its connection shows the restart first
+            with trio.fail_after(5):
+                while not observer.outcomes:
+                    await trio.sleep(0.005)
+            self.assertNotIn(run.id, listed.runs)
+            self.assertFalse([r for r in server.requests if b"run-start" in r])
+            client.close()
+
+        with mock.patch.object(httppool, "connect", connect_slowly):
+            self.run_scenario(scenario, answer)
+
     def test_an_outdated_response_does_not_set_the_clock_of_its_server(self):
         bodies = collections.deque(
             (
