A start without a response is stopped again after a restart

Callers would see a task run twice, and servers exceed their capacity: a start that gets no response may be carried out seconds later. A restart ended such runs as CRASHED at once and their tasks started elsewhere, while nothing made the new incarnation refuse the late start: it knows neither the run number nor the epoch, and the deadline of the start lies far ahead on its clock.

Cause: `_handle_restart` concluded that no run outlives its incarnation, which holds for runs, not for orders. A stop that the earlier incarnation confirmed would have counted too, also if its response came after the restart.

Why it works: such a run stays DOUBTFUL against the new incarnation and is stopped at once, with the present retries. A server refuses a run that was stopped before it came. It ends when a poll sent after that stop does not list it, or 13 s after its start, when no order is on its way any more; its deadline on the old clock ends it no longer. A stop counts only if the incarnation is the one for which it was ordered. Its loss is counted once, as before.

Cost: only a task whose start got no response before its server restarted waits, for the stop and the next poll. A run whose start was answered or that a poll has listed ends at once, as before.

test_a_task_that_crashes_its_servers_is_given_up left all starts unanswered and confirmed no stop, so its task would now wait for the stop. It now runs with answered starts and with unanswered ones whose stops are confirmed; its checks are the same.

--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -210,6 +210,7 @@
 
     def stop(self, run: zonetables.Run) -> None:
         """Requests the stop of a run."""
+        incarnation = self.server.incarnation
         body = {
             "task": str(run.key),
             "run": run.number,
@@ -217,7 +218,11 @@
         }
 
         def on_reply(reply: httppool_lib.Reply) -> None:
-            self.observer.handle_stop_outcome(run, reply.status == 200)
+            # An earlier incarnation cannot confirm what a later one does.
+            is_current = self.server.incarnation == incarnation
+            self.observer.handle_stop_outcome(
+                run, reply.status == 200 and is_current
+            )
 
         def on_failure(error: errors.AcacialineError) -> None:
             self.observer.handle_stop_outcome(run, False)
--- a/acacialine/tests/test_httppool.py
+++ b/acacialine/tests/test_httppool.py
@@ -531,6 +531,39 @@
         with mock.patch.object(httppool, "connect", connect_slowly):
             self.run_scenario(scenario, answer)
 
+    def test_a_stop_that_an_earlier_life_confirms_does_not_count(self):
+        placer = build.placer()
+        (listed,) = placer.tables.servers.values()
+
+        async def answer(request):
+            body = b'{"clockMs":10,"born":1,"running":[],"endedRuns":[]}'
+            if b"/run-stop" in request:
+                now = clock.now()
+                restarted = orders.PollResult(2, 10, (), ())
+                placer.runs.apply_poll(listed, restarted, now, now)
+            return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
+                len(body),
+                body,
+            )
+
+        async def scenario(server, nursery):
+            listed.address = server.address
+            placer.submit(build.submission(), "entry", clock.now())
+            placer.tick(clock.now())
+            run, _ = build.starts(placer.take_orders())
+            observer = build.ServerObserver()
+            client = serverclient.ServerClient(
+                listed, 1, 1.0, observer, httppool.Deadlines(), nursery
+            )
+            client.stop(run)
+            with trio.fail_after(5):
+                while not observer.stops:
+                    await trio.sleep(0.005)
+            self.assertEqual(observer.stops, [(run, False)])
+            client.close()
+
+        self.run_scenario(scenario, answer)
+
     def test_an_outdated_response_does_not_set_the_clock_of_its_server(self):
         bodies = collections.deque(
             (
--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -24,10 +24,10 @@
         result = orders.PollResult(incarnation, 1000, (), ())
         placer.runs.apply_poll(server, result, now, now)
 
-    def crash_each_start(self, placer, now, until):
+    def crash_each_start(self, placer, now, until, is_answered):
         """Crashes each server on which a run starts; returns starts, answers.
 
-        A server restarts 0.1 s after it has crashed.
+        A server restarts 0.1 s after it has crashed, and confirms stops.
         """
         starts, answers = [], []
         while now < until:
@@ -35,19 +35,33 @@
             new_orders = placer.take_orders()
             answers += build.answers(new_orders)
             now += 0.1
+            for server in placer.tables.servers.values():
+                result = orders.PollResult(server.incarnation, 1000, (), ())
+                placer.runs.apply_poll(server, result, now, now)
+            for run in build.stops(new_orders):
+                placer.runs.handle_stop_result(run, True, now)
             for run in build.starts(new_orders):
                 starts.append(run)
+                if is_answered:
+                    placer.runs.handle_start_result(
+                        run, orders.StartOutcome.STARTED, now
+                    )
                 self.restart(placer, run.server, now)
         return starts, answers
 
     def test_a_task_that_crashes_its_servers_is_given_up(self):
-        placer = build.placer(*(build.server(f"i-{n}") for n in range(SERVERS)))
-        job = build.submission(step=build.step(1), left_s=9.0)
-        placer.submit(job, "dispatcher", 0.0)
-        starts, answers = self.crash_each_start(placer, 0.0, 5.0)
-        self.assertLessEqual(len(starts), MAX_STARTS)
-        verdicts = [a.verdict for a in answers]
-        self.assertEqual(verdicts, [zonetables.Verdict.FAILED])
+        for is_answered in (True, False):
+            placer = build.placer(
+                *(build.server(f"i-{n}") for n in range(SERVERS))
+            )
+            job = build.submission(step=build.step(1), left_s=9.0)
+            placer.submit(job, "dispatcher", 0.0)
+            starts, answers = self.crash_each_start(
+                placer, 0.0, 5.0, is_answered
+            )
+            self.assertLessEqual(len(starts), MAX_STARTS)
+            verdicts = [a.verdict for a in answers]
+            self.assertEqual(verdicts, [zonetables.Verdict.FAILED])
 
     def crash(self, placer, server, now):
         """Lets the address of a server refuse connections, for good."""
@@ -208,6 +222,16 @@
         losses = placer.tables.losses.get(run.key.job_id, run.key.index)
         self.assertEqual(losses, losses_lib.TaskLosses(1, 0))
 
+    def test_a_start_without_an_answer_is_lost_with_one_incarnation(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        placer.submit(build.submission(step=build.step(1)), "dispatcher", 0.0)
+        placer.tick(0.0)
+        (run,) = build.starts(placer.take_orders())
+        self.restart(placer, run.server, 0.1)
+        self.restart(placer, run.server, 0.2)
+        losses = placer.tables.losses.get(run.key.job_id, run.key.index)
+        self.assertEqual(losses, losses_lib.TaskLosses(1, 0))
+
     def test_the_exit_of_a_draining_server_is_no_crash(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=9.0)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -500,6 +500,59 @@
         placer.runs.apply_poll(server, outdated, 0.21, 0.22)
         self.assertEqual(server.runs, {})
 
+    def restart(self, placer, server, incarnation, now):
+        restarted = orders.PollResult(incarnation, 10, (), ())
+        placer.runs.apply_poll(server, restarted, now, now)
+        placer.tick(now)
+        return placer.take_orders()
+
+    def poll_later(self, placer, server, polled_at, now):
+        result = orders.PollResult(server.incarnation, 10, (), ())
+        placer.runs.apply_poll(server, result, polled_at, now)
+        placer.tick(now)
+        return placer.take_orders()
+
+    def test_a_start_without_an_answer_may_reach_a_later_incarnation(self):
+        for is_answer_due in (True, False):
+            placer = build.placer()
+            (run,) = build.starts(self.submit(placer, step=build.step(1)))
+            run.not_after = run.server.lease_until = 1.0
+            if not is_answer_due:
+                placer.runs.handle_start_result(
+                    run, orders.StartOutcome.UNKNOWN, 0.1
+                )
+                # A stop that the earlier incarnation confirms proves nothing.
+                placer.runs.handle_stop_result(run, True, 0.11)
+                placer.take_orders()
+            new_orders = self.restart(placer, run.server, 2, 0.2)
+            self.assertEqual(build.starts(new_orders), [])
+            self.assertEqual(build.stops(new_orders), [run])
+            new_orders = self.poll_later(placer, run.server, 1.2, 1.2)
+            self.assertEqual(build.starts(new_orders), [])
+            placer.runs.handle_stop_result(run, True, 1.21)
+            new_orders = self.poll_later(placer, run.server, 1.3, 1.31)
+            self.assertEqual([r.number for r in build.starts(new_orders)], [2])
+
+    def test_a_late_start_is_awaited_for_a_limited_time(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,) = build.starts(
+            self.submit(placer, step=build.step(1), left_s=99.0)
+        )
+        self.restart(placer, run.server, 2, 0.2)
+        placer.runs.record_poll_timeout(run.server, 0.3)
+        placer.tick(zoneruns.MAX_ORDER_DELAY_S - 0.1)
+        self.assertEqual(build.starts(placer.take_orders()), [])
+        placer.tick(zoneruns.MAX_ORDER_DELAY_S + 0.1)
+        self.assertEqual(len(build.starts(placer.take_orders())), 1)
+
+    def test_an_answered_start_is_over_once_its_server_has_restarted(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        new_orders = self.restart(placer, run.server, 2, 0.2)
+        self.assertEqual(len(build.starts(new_orders)), 1)
+        self.assertEqual(build.stops(new_orders), [])
+
     def test_no_task_starts_on_a_server_with_an_unclaimed_run(self):
         placer = build.placer()
         server = placer.tables.servers["i-1"]
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -22,6 +22,7 @@
 LINGER_S = 0.1
 # Interval of the announcements of a job with such runs; some are lost.
 ANNOUNCE_INTERVAL_S = 0.3
+MAX_ORDER_DELAY_S = 13.0  # after this an order without a response has no effect
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
 STALL_MIN_AGE_RATIO = 2.5  # minimum age of a stalled run / its expected time
 # Added to a run number that a backend server refused as too old.
@@ -468,10 +469,11 @@
         poll_result: orders_lib.PollResult,
         now: float,
     ) -> None:
-        """Ends all runs of a restarted server and resets its state.
+        """Ends the runs of a restarted server and resets its state.
 
         A new incarnation has none of the runs of the old one and numbers
-        the ends of its own runs from 1.
+        the ends of its own runs from 1. It may still carry out a start that
+        got no response, so such a run stays until that is ruled out.
         """
         self._log(
             events.Event.ZONE_SERVER_REBORN,
@@ -482,12 +484,25 @@
         )
         self.record_crash(server, "restarted", now)
         server.lost_tasks.clear()
+        server.has_crashed = False
         server.last_ended_seq = 0
         server.slowness = 1.0
         server.failure_rate = 0.0
         server.runs_listed = False
         for run in list(server.runs.values()):
-            self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
+            if run.may_start_late:
+                self._hold_late_start(run, now)
+            else:
+                self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
+
+    def _hold_late_start(self, run: zonetables.Run, now: float) -> None:
+        """Stops a run of an earlier incarnation that may start in this one."""
+        run.state = zonetables.RunState.DOUBTFUL
+        run.stop_confirmed_at = None
+        # The end of its lease is a time on the clock of that incarnation.
+        run.not_after = run.sent_at + MAX_ORDER_DELAY_S
+        run.server.version += 1
+        self._order_stop(run, now)
 
     def _record_end(
         self,
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -160,6 +160,11 @@
         """Whether its demand is unknown, as no job has adopted it."""
         return self.demand is resources_lib.NO_RESOURCES
 
+    @property
+    def may_start_late(self) -> bool:
+        """Whether its start was sent and may still be carried out."""
+        return self.may_have_started and self.confirmed_at is None
+
     def confirm(self, now: float) -> None:
         """Records that the start was confirmed."""
         self.confirmed_at = now
