A late start is refused by every later incarnation of its server

Callers would see a task run twice, and servers exceed their capacity: a start without a response ended, as its stop was confirmed or its lease had passed; then its server restarted, even under a record that had lapsed meanwhile. The late start was carried out by the new incarnation, which had seen no stop.

Cause: what ended a run whose start got no response holds for one incarnation only, and the run was forgotten.

Why it works: such a run is remembered for 13 s after its start. A restart puts it back into the tables as DOUBTFUL, which stops it, holds its capacity and keeps its task from starting until a poll after the stop does not list it. A server that left the list is kept as long.

Not covered: the task of such a run may have started elsewhere before the restart, so a late start that arrives before the stop, within the interval of a poll after the restart, still runs beside it.

--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -553,6 +553,36 @@
         self.assertEqual(len(build.starts(new_orders)), 1)
         self.assertEqual(build.stops(new_orders), [])
 
+    def test_a_start_that_was_stopped_is_stopped_in_a_later_incarnation(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        run.not_after = run.server.lease_until = 1.0
+        placer.runs.handle_start_result(run, orders.StartOutcome.UNKNOWN, 0.1)
+        placer.runs.handle_stop_result(run, True, 0.11)
+        (retried,) = build.starts(
+            self.poll_later(placer, run.server, 0.2, 0.21)
+        )
+        self.assertIsNot(retried.server, run.server)
+        placer.runs.apply_servers([build.server("i-2")], 0.3)
+        placer.runs.apply_servers(
+            [build.server("i-1"), build.server("i-2")], 2.0
+        )
+        server = placer.tables.servers["i-1"]
+        new_orders = self.restart(placer, server, 2, 2.1)
+        self.assertIn(run.id, [r.id for r in build.stops(new_orders)])
+        # The run beside it is not touched.
+        self.assertIn(retried.id, placer.tables.servers["i-2"].runs)
+
+    def test_a_server_that_left_is_forgotten_once_no_start_can_reach_it(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        placer.runs.handle_start_result(run, orders.StartOutcome.UNKNOWN, 0.1)
+        placer.runs.handle_stop_result(run, True, 0.11)
+        self.poll_later(placer, run.server, 0.2, 0.21)
+        for now, is_known in ((12.9, True), (13.1, False)):
+            placer.runs.apply_servers([build.server("i-2")], now)
+            self.assertIs("i-1" in placer.tables.servers, is_known)
+
     def test_no_task_starts_on_a_server_with_an_unclaimed_run(self):
         placer = build.placer()
         server = placer.tables.servers["i-1"]
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -494,6 +494,12 @@
                 self._hold_late_start(run, now)
             else:
                 self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
+        _drop_late_starts(server, now)
+        for run in server.late_starts.values():
+            run.job = None
+            self.tables.add_run(run)
+            self._hold_late_start(run, now)
+        server.late_starts.clear()
 
     def _hold_late_start(self, run: zonetables.Run, now: float) -> None:
         """Stops a run of an earlier incarnation that may start in this one."""
@@ -589,6 +595,10 @@
                 how=kind.value,
                 detached_ms=zonetables.milliseconds(now - run.detached_at),
             )
+        if kind == zonetables.EndKind.LOST and run.may_start_late:
+            # Its incarnation refuses the start; a later one would not.
+            _drop_late_starts(server, now)
+            server.late_starts[run.id] = run
         job = run.job
         if job is None:
             return
@@ -628,7 +638,8 @@
             if server.id in announced_ids:
                 continue
             server.is_in_store = False
-            if not server.runs:
+            _drop_late_starts(server, now)
+            if not server.runs and not server.late_starts:
                 del tables.servers[server.id]
 
     def _update_server(
@@ -695,6 +706,15 @@
     return server.unclaimed_runs > 0
 
 
+def _drop_late_starts(server: zonetables.Server, now: float) -> None:
+    """Forgets the starts that have no effect any more, oldest first."""
+    while server.late_starts:
+        run_id, run = next(iter(server.late_starts.items()))
+        if now < run.sent_at + MAX_ORDER_DELAY_S:
+            return
+        del server.late_starts[run_id]
+
+
 def _has_ended(run: zonetables.Run, polled_at: float) -> bool:
     """Returns whether a run missing from a poll has certainly ended.
 
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -196,6 +196,7 @@
         unresponsive_since: When it stopped responding; None if it responds.
         avoid_until: No new task starts there before this time.
         recently_ended: Time of the end of each run that ended recently.
+        late_starts: Ended runs whose start a later incarnation may carry out.
         server_clock_ms: Its monotonic clock in its last poll response.
         clock_at: When that response arrived.
         lease_until: When the leases of all its runs have certainly expired.
@@ -232,6 +233,7 @@
     unresponsive_since: float | None = None
     avoid_until: float = 0.0
     recently_ended: dict[tuple[TaskKey, int], float] = attrs.field(factory=dict)
+    late_starts: dict[tuple[TaskKey, int], Run] = attrs.field(factory=dict)
     server_clock_ms: int = 0
     clock_at: float = 0.0
     lease_until: float = 0.0
