--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -48,6 +48,7 @@
         ended_count: Number of ended runs, and sequence number of the last one.
         incarnation: Number of its process, from 1.
         down_until: When it restarts after a crash.
+        clock_origin: When its monotonic clock was 0.
         crash_at: When a task that it runs crashes it.
         on_crash_due: Called then; by default it is down for a time.
         earlier_cpus: CPU before each change, with the time of the change.
@@ -64,6 +65,7 @@
     ended_count: int = 0
     incarnation: int = 1
     down_until: float = 0.0
+    clock_origin: float = 0.0
     crash_at: float = math.inf
     on_crash_due: collections.abc.Callable[[], None] | None = None
     earlier_cpus: list[tuple[float, int]] = attrs.field(factory=list)
@@ -103,6 +105,8 @@
         """Ends the runs that are due at `now`, or crashes if that is due."""
         if now >= self.crash_at:
             self.down_until = self.crash_at + self.server_pool.down_s
+            if self.server_pool.resets_clocks:
+                self.clock_origin = self.down_until
             self.crash_at = math.inf
             if self.on_crash_due is not None:
                 self.on_crash_due()
@@ -194,7 +198,10 @@
             for run in self.runs.values()
         )
         return orders.PollResult(
-            self.incarnation, round(now * 1000), running, tuple(self.ended)
+            self.incarnation,
+            round((now - self.clock_origin) * 1000),
+            running,
+            tuple(self.ended),
         )
 
 
@@ -208,6 +215,7 @@
         failing_jobs: Jobs whose tasks fail.
         crashing_tasks: Tasks that crash each server that starts them.
         down_s: Time in s from a crash until the server restarts.
+        resets_clocks: Whether the clock of a server restarts with it.
         resize_grace_s: Time in s for which an earlier capacity counts after
             it has shrunk: `contactMs` and a heartbeat on the platform.
         shows_progress: Whether the listed progress rises with time; else all
@@ -228,6 +236,7 @@
     failing_jobs: set = attrs.field(factory=set)
     crashing_tasks: set = attrs.field(factory=set)
     down_s: float = 3.0
+    resets_clocks: bool = False
     resize_grace_s: float = 4.5
     shows_progress: bool = False
     crash_counts: collections.Counter = attrs.field(factory=collections.Counter)
