Runs that are held after a restart count as runs without a job

Cause: the starts without a response that are stopped again after a restart have no job, but not since when, so they would never be announced to other zones if they lingered. Change: one method separates a run from its job and notes the time.

--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -126,8 +126,7 @@
         """Stops a run; it occupies its capacity until its end is known."""
         if run.job is not None:
             run.job.runs.pop(run.key.index, None)
-            run.job = None
-            run.detached_at = now
+            run.detach(now)
         if run.state == zonetables.RunState.STARTING:
             run.state = zonetables.RunState.DOUBTFUL
         elif run.state == zonetables.RunState.RUNNING:
@@ -496,7 +495,7 @@
                 self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
         _drop_late_starts(server, now)
         for run in server.late_starts.values():
-            run.job = None
+            run.detach(now)
             self.tables.add_run(run)
             self._hold_late_start(run, now)
         server.late_starts.clear()
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -165,6 +165,12 @@
         """Whether its start was sent and may still be carried out."""
         return self.may_have_started and self.confirmed_at is None
 
+    def detach(self, now: float) -> None:
+        """Separates the run from its job, which has ended."""
+        self.job = None
+        self.detached_at = now
+        self.is_lingering = False
+
     def confirm(self, now: float) -> None:
         """Records that the start was confirmed."""
         self.confirmed_at = now
