The check for lingering runs costs a comparison for runs with a job

check_runs looks at each run of the zone 50 times a second; the call for each of them becomes a comparison. No decision changes; tests as before.

--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -217,7 +217,11 @@
         """
         for server in self.tables.servers.values():
             for run in list(server.runs.values()):
-                self._check_lingering(run, now)
+                if (
+                    run.detached_at is not None
+                    and now - run.detached_at >= LINGER_S
+                ):
+                    self._record_lingering(run, now)
                 if (
                     now > server.lease_until
                     and now > run.not_after
@@ -234,14 +238,12 @@
                 elif self._is_stalled(run, now):
                     self._restart_stalled(run, now)
 
-    def _check_lingering(self, run: zonetables.Run, now: float) -> None:
+    def _record_lingering(self, run: zonetables.Run, now: float) -> None:
         """Announces the job of a run that goes on long after it has ended.
 
         An earlier owner of the zone may have had the job, and have been lost
         with the dispatcher that knew of it.
         """
-        if run.detached_at is None or now - run.detached_at < LINGER_S:
-            return
         self.announce(run.key.job_id, now)
         if run.is_lingering:
             return
