A handed-over job waits until a superseded owner can renew no lease

Cause: a successor that does not reach a backend server waits for the leases there, but reckoned with one lease from its own takeover. Its predecessor may be alive: suspended or cut off from the successor only. It renews leases on servers that have not heard of the successor until a poll of another server shows that it is fenced, up to 0.4 s later. The new directed test fails before: the placer is suspended from 0.400 to 1.160, the successor owns the zone at 1.000 and starts run 17 at 2.120, run 1 ends at 2.170. Change: the wait counts a poll, its margin and a lease: 1.6 s instead of 1.1 s. It only applies while a listed server has not answered the successor. Result: the test passes. Three tests in test_placer had the old wait written out; they now check both sides of the new one.

--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -16,6 +16,11 @@
 # Time after which a run of an earlier owner is stopped unless a dispatcher
 # has handed over its job.
 ADOPTION_TIMEOUT_S = 0.25
+# Longest wait of a poll for the end of a run, as a share of the lease that the
+# next poll renews.
+MAX_POLL_WAIT_SHARE = 0.4
+# Margin for the delay of the poll from which an owner learns of its successor.
+FENCING_MARGIN_S = 0.1
 
 
 @attrs.frozen
@@ -33,6 +38,19 @@
         """Time after which a lease has ended, also on the slowest clock."""
         return self.length_s / SLOWEST_CLOCK_RATE + RENEWAL_MARGIN_S
 
+    @property
+    def superseded_owner_s(self) -> float:
+        """Time after which all runs of an owner with a successor have ended.
+
+        It may be alive and renew leases on backend servers that the successor
+        doesn't reach, until its polls of the others show that it is fenced.
+        """
+        return (
+            self.length_s * MAX_POLL_WAIT_SHARE
+            + FENCING_MARGIN_S
+            + self.max_lease_s
+        )
+
     @property
     def lost_owner_s(self) -> float:
         """Time after which all runs of a lost owner have ended.
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -226,7 +226,7 @@
                 number = job.next_run_number.get(index, 1)
                 job.next_run_number[index] = max(first_number, number)
             job.hold_until = (
-                self.obeyed_since + self.runs.lease_times.max_lease_s
+                self.obeyed_since + self.runs.lease_times.superseded_owner_s
             )
         return job
 
@@ -445,7 +445,7 @@
         self.obeyed_since = now
         for job in self.tables.jobs.values():
             if job.hold_until:
-                job.hold_until = now + self.runs.lease_times.max_lease_s
+                job.hold_until = now + self.runs.lease_times.superseded_owner_s
 
     def handle_process_pause(self, now: float) -> None:
         """Marks all run lists as outdated after this process was suspended.
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -31,9 +31,6 @@
 ACKNOWLEDGE_POLL_DELAY_S = 0.5
 # Interval between polls of an incarnation that the store does not list yet.
 UNANNOUNCED_POLL_INTERVAL_S = 0.3
-# Longest wait of a poll for the end of a run, as a share of the lease that the
-# next poll renews.
-LOOK_WAIT_MAX_SHARE = 0.4
 # Longest wait after a takeover for the list of servers if the known one is old.
 LIST_WAIT_S = 1.0
 POLL_RETRY_S = 0.1
@@ -368,7 +365,7 @@
             settings = self._dispatcher.settings.placement
             wait_s = min(
                 settings.look_wait_ms / 1000,
-                poller.client.lease_s * LOOK_WAIT_MAX_SHARE,
+                poller.client.lease_s * leases.MAX_POLL_WAIT_SHARE,
             )
         elif server.runs_listed:
             if not server.must_acknowledge:
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -434,6 +434,20 @@
         self.send_job(job, 3)
         return job
 
+    def suspend_placer(self, zone_name, seconds, succeeded_after_s):
+        """Suspends a placer; a successor takes over meanwhile."""
+        zone = self.zones[zone_name]
+        former, zone.owner = zone.owner, None
+        former.paused_until = self.now + seconds
+        self.former_owners.append(former)
+        for link in self.links.values():
+            if link.zone == zone_name:
+                link.generation += 1
+        self.at(
+            self.now + succeeded_after_s,
+            lambda at: self._own(zone_name, former.epoch + 1, at),
+        )
+
     def leave_now(self, job):
         """Lets the client of a job leave."""
         intake = self.intakes[self.target]
@@ -550,6 +564,14 @@
         simulation.lose_placer("zone-a")
         self.check()
 
+    def test_a_resumed_placer_that_renews_a_lease_once_more(self):
+        simulation = self.simulation
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.unreachable_until["zone-a-0"] = 3.0
+        simulation.suspend_placer("zone-a", 0.76, 0.6)
+        self.check()
+
 
 class LostDispatchersTest(unittest.TestCase):
     def check(self, simulation):
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -8,6 +8,9 @@
 from acacialine.tests import zonebuilders as build
 
 
+HOLD_S = build.LEASE_TIMES.superseded_owner_s
+
+
 class PlacerTest(unittest.TestCase):
     def submit(self, placer, now=0.0, **changes):
         placer.submit(build.submission(**changes), "dispatcher", now)
@@ -430,7 +433,9 @@
         placer.tables.servers["i-2"].runs_listed = False
         placer.record_remote_job("00000000000000aa", "zone-a", 0.0)
         self.assertEqual(build.starts(self.submit(placer, 0.1)), [])
-        placer.tick(1.2)
+        placer.tick(HOLD_S - 0.03)
+        self.assertEqual(build.starts(placer.take_orders()), [])
+        placer.tick(HOLD_S + 0.03)
         self.assertEqual(
             [r.number for r in build.starts(placer.take_orders())], [17, 17]
         )
@@ -621,7 +626,9 @@
         placer.owned_since = 0.0
         new_orders = self.submit(placer, 0.1, handovers=1)
         self.assertEqual(build.starts(new_orders), [])
-        placer.tick(1.2)
+        placer.tick(HOLD_S - 0.03)
+        self.assertEqual(build.starts(placer.take_orders()), [])
+        placer.tick(HOLD_S + 0.03)
         self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
     def test_a_handed_over_job_starts_once_all_servers_are_listed(self):
@@ -669,9 +676,9 @@
             placer.runs.awaits_list = False
             if submitted_at > 5.0:
                 self.submit(placer, submitted_at, handovers=1, left_s=9.0)
-            placer.tick(6.0)
+            placer.tick(5.0 + HOLD_S - 0.03)
             self.assertEqual(build.starts(placer.take_orders()), [])
-            placer.tick(6.2)
+            placer.tick(5.0 + HOLD_S + 0.03)
             self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
     def test_tasks_listed_as_done_after_the_handover_count_too(self):
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -682,7 +682,7 @@
                 # The other owner stops or adopts the run.
                 job.runs.pop(run.key.index, None)
                 job.hold_until = max(
-                    job.hold_until, now + self.lease_times.max_lease_s
+                    job.hold_until, now + self.lease_times.superseded_owner_s
                 )
                 self.unknown_before = now
                 job.waiting.appendleft(run.key.index)
