A resumed placer extends no lease before it knows that it is not fenced

Cause: after a suspension a placer polled all its servers at once, and each of these polls renewed a lease, also on a server that its successor had not reached. That it was fenced it learned from the other answers, a moment later. Besides, the answer to a poll from before the suspension counted as a list from after it. Change: polls and starts carry a lease again once all listed servers have answered a poll sent after the suspension, or 0.1 s after it; polls that renew a lease wait for that. A list counts only if it was asked for after the suspension. Result: tests in test_placer, test_placerhost, test_serverclient and test_lost_dispatchers.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -454,8 +454,7 @@
         task of an open job starts before its dispatchers had PAUSE_RECOVERY_S
         to reconnect.
         """
-        for server in self.tables.servers.values():
-            server.runs_listed = False
+        self.runs.handle_process_pause(now)
         for job in self.tables.jobs.values():
             job.not_before = max(job.not_before, now + PAUSE_RECOVERY_S)
 
@@ -494,7 +493,7 @@
         # A server that has answered a poll of this owner no longer obeys an
         # earlier owner. Once all servers have answered, all runs are known.
         all_runs_known = self.runs.all_runs_known
-        if self.runs.awaits_list:
+        if self.runs.awaits_list or not self.runs.may_extend_leases(now):
             return
         waiting = [
             j
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -24,6 +24,7 @@
 from acacialine import resources
 from acacialine import schedule
 from acacialine import serverhealth
+from acacialine import zoneruns
 from acacialine import zonetables
 from acacialine.platform import serverclient
 
@@ -57,6 +58,7 @@
             runs; infinite if not known yet.
         retry_s: Delay after the next failure.
         polled_seq: `last_ended_seq` when the poll in flight was sent.
+        polled_at: When that poll was sent.
         silence_logged_at: When the log last said that the server is silent.
         due_at: When `tick` next looks at it; infinite if not scheduled.
     """
@@ -67,6 +69,7 @@
     acknowledge_at: float = math.inf
     retry_s: float = POLL_RETRY_S
     polled_seq: int = 0
+    polled_at: float = 0.0
     silence_logged_at: float = -math.inf
     due_at: float = math.inf
 
@@ -328,6 +331,10 @@
         poller.client.start(run)
         self._poll_if_due(poller, clock.now())
 
+    def may_extend_leases(self) -> bool:
+        """See `serverclient.Observer`."""
+        return self.placer.runs.may_extend_leases(clock.now())
+
     def handle_start_outcome(
         self, run: zonetables.Run, outcome: orders_lib.StartOutcome
     ) -> None:
@@ -367,6 +374,9 @@
                 settings.look_wait_ms / 1000,
                 poller.client.lease_s * leases.MAX_POLL_WAIT_SHARE,
             )
+            runs = self.placer.runs
+            if not runs.may_extend_leases(now):
+                due_at = max(due_at, runs.resumed_at + zoneruns.RESUME_CHECK_S)
         elif server.runs_listed:
             if not server.must_acknowledge:
                 return
@@ -380,6 +390,7 @@
         poller.in_flight = True
         poller.due_at = poller.acknowledge_at = math.inf
         poller.polled_seq = server.last_ended_seq
+        poller.polled_at = now
         poller.client.poll(wait_s)
 
     def _schedule(self, poller: ServerPoller, due_at: float) -> None:
@@ -426,7 +437,8 @@
             case None:
                 poller.retry_s = POLL_RETRY_S
                 poller.not_before = 0.0
-                if not server.runs_listed:
+                is_outdated = poller.polled_at < self.placer.runs.resumed_at
+                if not server.runs_listed and not is_outdated:
                     poller.not_before = now + UNANNOUNCED_POLL_INTERVAL_S
                 if server.last_ended_seq == poller.polled_seq:
                     server.must_acknowledge = False
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -67,6 +67,9 @@
 class Observer(typing.Protocol):
     """Receives the results of the requests; implemented by the placer host."""
 
+    def may_extend_leases(self) -> bool:
+        """Returns whether polls may carry a lease now."""
+
     def handle_start_outcome(
         self, run: zonetables.Run, outcome: orders.StartOutcome
     ) -> None:
@@ -271,7 +274,7 @@
 
     def _next_lease(self, now: float) -> leases.Lease | None:
         """Returns the lease that a poll requests; None if it needs none."""
-        if not self.server.clock_at:
+        if not self.server.clock_at or not self.observer.may_extend_leases():
             return None
         if not zoneruns.needs_lease(self.server, now):
             return None
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -572,6 +572,16 @@
         simulation.suspend_placer("zone-a", 0.76, 0.6)
         self.check()
 
+    def test_a_resumed_placer_renews_no_lease_before_it_knows_its_successor(
+        self,
+    ):
+        simulation = self.simulation
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.4)
+        simulation.unreachable_until["zone-a-0"] = 3.0
+        simulation.suspend_placer("zone-a", 0.85, 0.05)
+        self.check()
+
 
 class LostDispatchersTest(unittest.TestCase):
     def check(self, simulation):
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -7,7 +7,6 @@
 from acacialine import zonetables
 from acacialine.tests import zonebuilders as build
 
-
 HOLD_S = build.LEASE_TIMES.superseded_owner_s
 
 
@@ -250,6 +249,28 @@
         new_orders = self.poll(placer, runs[0].server, 3.6)
         self.assertEqual([r.number for r in build.starts(new_orders)], [2, 2])
 
+    def test_after_a_pause_only_later_polls_show_that_a_server_obeys(self):
+        placer = build.placer()
+        (server,) = placer.tables.servers.values()
+        placer.handle_process_pause(3.0)
+        self.poll(placer, server, 3.01, polled_at=2.1)
+        self.assertFalse(server.runs_listed)
+        self.poll(placer, server, 3.02, polled_at=3.005)
+        self.assertTrue(server.runs_listed)
+
+    def test_after_a_pause_leases_wait_for_all_servers_or_for_a_time(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        first, second = placer.tables.servers.values()
+        placer.handle_process_pause(3.0)
+        self.poll(placer, first, 3.01)
+        self.assertFalse(placer.runs.may_extend_leases(3.02))
+        self.assertEqual(build.starts(self.submit(placer, 3.02)), [])
+        self.assertTrue(placer.runs.may_extend_leases(3.11))
+        placer.handle_process_pause(4.0)
+        self.poll(placer, first, 4.01)
+        self.poll(placer, second, 4.02)
+        self.assertTrue(placer.runs.may_extend_leases(4.03))
+
     def test_unclaimed_runs_do_not_renew_the_lease(self):
         # Seen in rolling-storm (baekdu, seed 762286807343): the lease was
         # renewed until the runs were stopped, while their job had started in
--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -88,6 +88,29 @@
             self.host.record_list_read(0.4)
         self.assertGreater(self.placer.runs.unknown_before, 0.3)
 
+    def test_after_a_pause_a_server_is_polled_again_without_a_delay(self):
+        self.host._poll_if_due(self.poller, 1.0)  # nothing to poll
+        with mock.patch.object(placerhost.clock, "now", return_value=1.0):
+            self.server.runs_listed = False
+            self.host._poll_if_due(self.poller, 1.0)
+        with mock.patch.object(placerhost.clock, "now", return_value=2.0):
+            self.host.resume_after_pause()
+            # The response to the poll of 1.0 shows nothing.
+            self.host.handle_poll_end(self.server, None)
+        self.assertEqual(self.poller.client.polls, [0.0, 0.0])
+
+    def test_after_a_pause_the_poll_that_renews_a_lease_waits(self):
+        placer = self.placer
+        placer.submit(build.submission(), "dispatcher", 1.0)
+        placer.tick(1.0)
+        placer.handle_process_pause(2.0)
+        placer.tables.servers["i-2"] = build.server("i-2")  # gives no answer
+        self.server.runs_listed = True
+        self.host._poll_if_due(self.poller, 2.01)
+        self.assertEqual(self.poller.client.polls, [])
+        self.host._poll_if_due(self.poller, 2.11)
+        self.assertEqual(self.poller.client.polls, [0.4])
+
     def test_one_poll_is_in_flight_at_a_time(self):
         self.server.runs_listed = False
         for _ in range(3):
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -14,9 +14,10 @@
 from acacialine.tools import ports
 
 
-async def poll(server):
+async def poll(server, may_extend_leases=True):
     """Polls a backend server; returns the error that ended the poll."""
     observer = build.ServerObserver()
+    observer.may_extend_leases = lambda: may_extend_leases
     async with trio.open_nursery() as nursery:
         client = serverclient.ServerClient(
             server, 1, 1.0, observer, httppool.Deadlines(), nursery
@@ -48,6 +49,30 @@
 
         support.run(scenario)
 
+    def test_a_poll_carries_no_lease_while_a_successor_may_exist(self):
+        async def scenario():
+            requests = []
+
+            async def answer(stream):
+                requests.append(await stream.receive_some(65536))
+
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                address = listeners[0].socket.getsockname()
+                nursery.start_soon(trio.serve_listeners, answer, listeners)
+                placer = build.placer(build.server(address=address))
+                (server,) = placer.tables.servers.values()
+                leases.observe_clock(server, 1000, clock.now())
+                placer.submit(build.submission(), "entry", clock.now())
+                placer.tick(clock.now())
+                for may_extend in (True, False):
+                    await poll(server, may_extend)
+                nursery.cancel_scope.cancel()
+            has_lease = [b"deadlineMs" in r for r in requests]
+            self.assertEqual(has_lease, [True, False])
+
+        support.run(scenario)
+
     def test_status_421_tells_that_a_server_was_replaced(self):
         async def answer(stream):
             await stream.receive_some(65536)
--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -62,6 +62,9 @@
         self.poll_errors = []
         self.fenced = []
 
+    def may_extend_leases(self):
+        return True
+
     def handle_start_outcome(self, run, outcome):
         self.outcomes.append((run, outcome))
 
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -193,7 +193,11 @@
             self.placer.runs.record_crash(server, "refused", now)
             return
         lease = None
-        if server.clock_at and zoneruns.needs_lease(server, now):
+        if (
+            server.clock_at
+            and self.placer.runs.may_extend_leases(now)
+            and zoneruns.needs_lease(server, now)
+        ):
             lease = leases.new_lease(server, LEASE_S, now)
             server.lease_until = max(server.lease_until, lease.ends_by)
         delays = simulation.draw_poll_delays()
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -23,6 +23,8 @@
 # Interval of the announcements of a job with such runs; some are lost.
 ANNOUNCE_INTERVAL_S = 0.3
 MAX_ORDER_DELAY_S = 13.0  # after this an order without a response has no effect
+# Time in which polls show a resumed process that it has a successor.
+RESUME_CHECK_S = 0.1
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
 STALL_MIN_AGE_RATIO = 2.5  # minimum age of a stalled run / its expected time
 # Added to a run number that a backend server refused as too old.
@@ -67,6 +69,7 @@
             at the takeover is so old that servers may have left since.
         unknown_before: Jobs that arrived before may have runs on a server that
             has left the list or obeys another owner.
+        resumed_at: When this process resumed after it had been suspended.
     """
 
     tables: zonetables.ZoneTables
@@ -76,6 +79,7 @@
     is_list_current: bool = True
     awaits_list: bool = False
     unknown_before: float = -1e9
+    resumed_at: float = -1e9
     _announced_at: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -85,6 +89,20 @@
             s.runs_listed for s in self.tables.servers.values() if s.is_in_store
         )
 
+    def handle_process_pause(self, now: float) -> None:
+        """Marks the lists of all servers as outdated after a suspension."""
+        self.resumed_at = now
+        for server in self.tables.servers.values():
+            server.runs_listed = False
+
+    def may_extend_leases(self, now: float) -> bool:
+        """Returns whether starts and polls may carry a lease.
+
+        After this process was suspended it may have a successor. Any backend
+        server may show that, so leases wait for all of them, or for a time.
+        """
+        return now >= self.resumed_at + RESUME_CHECK_S or self.all_runs_known
+
     def adopt(self, job: zonetables.Job) -> None:
         """Attaches runs and completed tasks of an earlier owner to a job."""
         for server in self.tables.servers.values():
@@ -455,7 +473,8 @@
             0,
             poll_result.incarnation,
         )
-        if not server.runs_listed and is_capacity_known:
+        is_current = polled_at >= self.resumed_at
+        if not server.runs_listed and is_capacity_known and is_current:
             server.runs_listed = True
             self._log(
                 events.Event.ZONE_SERVER_LISTED,
