A resumed dispatcher hears the placer before it claims the zone

Callers: after a dispatcher that is no placer had been suspended, its zone had no placer for about 0.5 s; each needless takeover is a chance to run a task twice. Cause: it claimed the zone before it had read the heartbeats that had arrived meanwhile; that another zone was heard first counted as proof that it was not cut off. Change: no claim within 0.35 s after a suspension, two intervals of the heartbeats. Result: the new test in test_ownership fails without it.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -307,6 +307,7 @@
         gap_s = now - self._last_tick_at
         if self._last_tick_at and gap_s > PROCESS_PAUSE_S:
             self.log(events.Event.LOOP_PAUSED, seconds=gap_s)
+            self.ownership.handle_process_pause(now)
             if self.placer_host is not None:
                 self.placer_host.resume_after_pause()
         self._last_tick_at = now
--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -18,6 +18,7 @@
 # Silence after which a member is removed from the list: it has stopped for
 # good, or a partition lasts long.
 MEMBER_EXPIRY_S = 10.0
+RESUME_WAIT_S = 0.35  # two heartbeat intervals
 STARTUP_WAIT_S = 0.7  # lets dispatchers started together exchange heartbeats
 ISOLATED_WAIT_S = 2.5  # delay before an isolated dispatcher claims its zone
 ISOLATED_FENCED_WAIT_S = 10.0  # the same delay after it was fenced
@@ -247,6 +248,14 @@
             return  # first-hand knowledge of this member takes precedence
         self._relayed_claim = (claim, now)
 
+    def handle_process_pause(self, now: float) -> None:
+        """Delays a claim after this process was suspended.
+
+        The heartbeats that arrived meanwhile have not been read yet, so all
+        other members seem dead.
+        """
+        self._not_before = max(self._not_before, now + RESUME_WAIT_S)
+
     def step_down_fenced(self, now: float) -> None:
         """Steps down after a backend server obeyed a higher epoch."""
         self.epoch = 0
--- a/acacialine/tests/test_ownership.py
+++ b/acacialine/tests/test_ownership.py
@@ -63,6 +63,17 @@
         self.record_heartbeat(local, "c", 2.7, started=3.0)
         self.assertIs(self.decide(local, 2.7), ownership.Role.PLACER)
 
+    def test_a_resumed_dispatcher_hears_the_placer_before_it_claims(self):
+        local = new_ownership()
+        self.record_heartbeat(local, "b", 2.0, claim=77)
+        local.handle_process_pause(2.8)
+        self.assertIsNone(self.decide(local, 2.8))
+        local.last_contact_at = 2.81  # another zone was heard first
+        self.assertIsNone(self.decide(local, 2.82))
+        self.record_heartbeat(local, "b", 2.83, claim=77)
+        self.assertIsNone(self.decide(local, 3.2))
+        self.assertEqual(local.placer(3.2), "b")
+
     def test_an_isolated_dispatcher_waits_before_it_claims(self):
         local = new_ownership()
         self.record_heartbeat(local, "b", 2.0, claim=77)
