No task starts for a dispatcher that may be lost

Callers: a task could run twice: it started 0.6 s and more after its dispatcher had fallen silent, and its placer was lost before it told the other zones. Cause: the jobs of a suspect dispatcher were announced once, if they had runs; those that waited started later and were not. The work is wasted as well if the dispatcher is dead. Change: jobs whose only dispatchers are suspect start nothing until one is heard again; the first message ends the suspicion. Result: two tests in test_placer, one in test_peering.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -134,7 +134,7 @@
             self._build_zone_state,
             self._on_message,
             self._on_request,
-            self._on_session_suspect,
+            self._on_suspicion_changed,
             self._on_session_closed,
             self._on_link_opened,
             self._on_link_closed,
@@ -653,9 +653,9 @@
                     )
         self.wake()
 
-    def _on_session_suspect(self, session: peering.AcceptedLink) -> None:
+    def _on_suspicion_changed(self, session: peering.AcceptedLink) -> None:
         if self.placer_host is not None:
-            self.placer_host.announce_jobs_of(session.outbox)
+            self.placer_host.set_suspect(session.outbox, session.is_suspect)
             self.wake()
 
     def _on_session_closed(self, session: peering.AcceptedLink) -> None:
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -230,13 +230,13 @@
             self.heartbeat_gap_s = now - self._heartbeat_at
         self._heartbeat_at = now
 
-    def becomes_suspect(self, now: float) -> bool:
-        """Updates `is_suspect`; returns whether it has become true."""
+    def update_suspicion(self, now: float) -> bool:
+        """Updates `is_suspect`; returns whether it has changed."""
         was_suspect = self.is_suspect
         self.is_suspect = (
             self._carries_jobs(now) and now - self.heard_at > SUSPECT_SILENCE_S
         )
-        return self.is_suspect and not was_suspect
+        return self.is_suspect != was_suspect
 
     def _carries_jobs(self, now: float) -> bool:
         return now - self._job_at <= CARRIES_JOBS_S
@@ -416,7 +416,8 @@
         on_message: Called with each message on a dialled link, and whether it
             equals the last heartbeat.
         on_request: The same for the accepted links.
-        on_session_suspect: Called when an accepted link may have failed.
+        on_suspicion_changed: Called when an accepted link has become suspect,
+            or is no longer.
         on_session_closed: Called when an accepted link has ended.
         on_link_opened: Called after the first heartbeat on a dialled link.
         on_link_closed: Called with the reason when an open link has ended.
@@ -431,7 +432,7 @@
     build_heartbeat: collections.abc.Callable[[], messages.ZoneState]
     on_message: collections.abc.Callable
     on_request: collections.abc.Callable
-    on_session_suspect: collections.abc.Callable
+    on_suspicion_changed: collections.abc.Callable
     on_session_closed: collections.abc.Callable
     on_link_opened: collections.abc.Callable
     on_link_closed: collections.abc.Callable
@@ -520,6 +521,9 @@
         while True:
             for frame in await session.outbox.receive_frames():
                 session.heard_at = clock.now()
+                if session.is_suspect:
+                    session.update_suspicion(session.heard_at)
+                    self.on_suspicion_changed(session)
                 message, is_repeated = decoder.decode(frame)
                 if isinstance(message, messages.ZoneState):
                     check_heartbeat(message, session.peer_id)
@@ -538,5 +542,5 @@
                 if session.has_failed(now):
                     session.is_silent = True
                     session.scope.cancel()
-                elif session.becomes_suspect(now):
-                    self.on_session_suspect(session)
+                elif session.update_suspicion(now):
+                    self.on_suspicion_changed(session)
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -108,6 +108,7 @@
     runs: zoneruns.Runs = attrs.field(init=False)
     obeyed_since: float = attrs.field(init=False)
     _orders: list[orders_lib.Order] = attrs.field(factory=list)
+    _suspect_origins: set = attrs.field(factory=set)
     _checked_at: float = -1e9
     _expired_at: float = -1e9
 
@@ -314,11 +315,19 @@
             )
         )
 
-    def announce_jobs_of(self, origin, now: float) -> None:
-        """Tells all zones of the jobs of a dispatcher that may be lost.
+    def set_suspect(self, origin, is_suspect: bool, now: float) -> None:
+        """Records whether a dispatcher may be lost.
 
-        This placer may be lost too before it has ended them.
+        Meanwhile no task of its jobs starts, and all zones know of their runs:
+        this placer may be lost too before it has ended them.
         """
+        if not is_suspect:
+            self._suspect_origins.discard(origin)
+            return
+        self._suspect_origins.add(origin)
+        self._announce_jobs_of(origin, now)
+
+    def _announce_jobs_of(self, origin, now: float) -> None:
         for job in self.tables.jobs.values():
             if job.origins == {origin} and job.runs:
                 self.runs.announce(job.id, now)
@@ -337,8 +346,9 @@
                 being closed.
             now: The current time.
         """
+        self._suspect_origins.discard(origin)
         if is_silent:
-            self.announce_jobs_of(origin, now)
+            self._announce_jobs_of(origin, now)
         for job in list(self.tables.jobs.values()):
             if origin not in job.origins:
                 continue
@@ -500,6 +510,7 @@
             for j in self.tables.jobs.values()
             if j.waiting
             and now >= j.not_before
+            and not (j.origins and j.origins <= self._suspect_origins)
             and (
                 now >= j.hold_until
                 or (all_runs_known and j.arrived_at > self.runs.unknown_before)
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -130,9 +130,9 @@
         """Records that another zone keeps running a job."""
         self.placer.record_remote_job(job_id, zone, clock.now())
 
-    def announce_jobs_of(self, origin) -> None:
-        """Tells all zones of the jobs of a dispatcher that may be lost."""
-        self.placer.announce_jobs_of(origin, clock.now())
+    def set_suspect(self, origin, is_suspect: bool) -> None:
+        """Records whether a dispatcher may be lost."""
+        self.placer.set_suspect(origin, is_suspect, clock.now())
 
     def remove_origin(self, origin, is_silent: bool) -> None:
         """Removes a dispatcher whose link has ended from all jobs."""
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -254,7 +254,7 @@
     def suspect_origin(self, owner, session, now):
         """Lets a placer notice that a dispatcher may be lost."""
         if not owner.is_closed and now >= owner.paused_until:
-            owner.placer.announce_jobs_of(session, now)
+            owner.placer.set_suspect(session, True, now)
 
     def lose_placer(self, zone_name):
         """Ends the process of a placer; a successor knows no unclaimed jobs."""
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -181,11 +181,15 @@
             self.assertGreaterEqual(len(acceptor.requests), count + 4)
             (session,) = set(acceptor.sessions)
             now = session.heard_at
-            self.assertFalse(session.becomes_suspect(now + 0.55))
-            self.assertTrue(session.becomes_suspect(now + 0.65))
-            self.assertFalse(session.becomes_suspect(now + 0.8))
+            self.assertFalse(session.update_suspicion(now + 0.55))
+            self.assertTrue(session.update_suspicion(now + 0.65))
+            self.assertTrue(session.is_suspect)
+            self.assertFalse(session.update_suspicion(now + 0.8))
             self.assertFalse(session.has_failed(now + 0.95))
             self.assertTrue(session.has_failed(now + 1.05))
+            # The next message ends the suspicion.
+            await self.wait_for(lambda: acceptor.suspected)
+            self.assertFalse(session.is_suspect)
 
         self.run_scenario(scenario)
 
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -371,13 +371,29 @@
         placer = build.placer()
         (run,) = build.starts(self.submit(placer, step=build.step(1)))
         self.confirm(placer, [run])
-        placer.announce_jobs_of("other dispatcher", 0.6)
+        placer.set_suspect("other dispatcher", True, 0.6)
         self.assertEqual(build.announced(placer.take_orders()), [])
-        placer.announce_jobs_of("dispatcher", 0.6)
+        placer.set_suspect("dispatcher", True, 0.6)
         new_orders = placer.take_orders()
         self.assertEqual(build.announced(new_orders), [run.key.job_id])
         self.assertEqual(build.stops(new_orders), [])
 
+    def test_no_task_starts_for_a_suspect_dispatcher(self):
+        placer = build.placer()
+        placer.set_suspect("dispatcher", True, 0.0)
+        queue = build.queue(target_latency_s=2.0)
+        new_orders = self.submit(placer, 0.1, queue=queue)
+        self.assertEqual(build.starts(new_orders), [])
+        placer.set_suspect("dispatcher", False, 0.2)
+        placer.tick(0.2)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
+    def test_a_task_starts_for_one_of_two_dispatchers_that_is_not_suspect(self):
+        placer = build.placer()
+        placer.set_suspect("dispatcher", True, 0.0)
+        placer.submit(build.submission(), "other dispatcher", 0.1)
+        self.assertEqual(len(build.starts(self.submit(placer, 0.1))), 2)
+
     def test_no_task_starts_on_an_old_list_of_servers(self):
         # Servers may have left since the list was read, and a server that
         # drains must get no task.
