A job that is kept for a retry does not wait for the dispatcher that keeps it

Callers: a task ran twice at the same time; the only fault was a broken connection of its client. Cause: a dispatcher that had answered 504 stayed among those that wait for the job. When the client's retry came through another one and the client left again, the job still seemed to have a client: no run was stopped, no zone was told, and what the zones knew of the job expired 4.45 s after the 504. Evidence: directed test: 504 at 4.170, the retry attaches at 5.480, the client leaves at 7.500, the other zone starts the task at 8.830, the run ends at 9.800. Change: the dispatcher that keeps a job is its keeper and no origin. The job ends with the last client that returned, with its keeper, or at the end of that time. Result: that test and two of the new tests in test_placer fail without the change; the other two hold before and after.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -424,7 +424,7 @@
                     link.post(messages.CancelJob(job_id, reason))
             case intake_lib.KeepJob(peer_id, job_id):
                 if peer_id == self.my_id and self.placer_host is not None:
-                    self._keep_job(job_id)
+                    self._keep_job(job_id, self)
                     return
                 link = self.hub.find_open_link(peer_id)
                 if link is not None:
@@ -449,9 +449,9 @@
         """
         self._receive_verdict(self.my_id, message)
 
-    def _keep_job(self, job_id: str) -> None:
+    def _keep_job(self, job_id: str, origin) -> None:
         """Keeps a job running at the placer in this process."""
-        self.placer_host.keep_job(job_id)
+        self.placer_host.keep_job(job_id, origin)
         self.share_job(job_id)
 
     def share_job(self, job_id: str) -> None:
@@ -638,7 +638,7 @@
                     self.placer_host.cancel(job_id, session.outbox, reason)
             case messages.KeepJob(job_id):
                 if self.placer_host is not None:
-                    self._keep_job(job_id)
+                    self._keep_job(job_id, session.outbox)
             case messages.JobKept(job_id):
                 self._receive_kept_job(message)
                 if self.placer_host is not None and not message.is_relayed:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -272,18 +272,24 @@
         job = self.tables.jobs.get(job_id)
         if job is None:
             return
-        job.origins.discard(origin)
+        job.remove_origin(origin)
         if job.origins:
             return
         self._log(events.Event.ZONE_JOB_CANCELLED, job=job.id, reason=reason)
         self._end_job(job, None, reason, now)
 
-    def keep_job(self, job_id: str, now: float) -> None:
-        """Keeps a job running past its deadline for the client's retry."""
+    def keep_job(self, job_id: str, origin, now: float) -> None:
+        """Keeps a job running past its deadline for the client's retry.
+
+        The origin has answered its clients, so it waits no more. It cancels
+        the job if a zone may not know of it; without it the job ends.
+        """
         job = self.tables.jobs.get(job_id)
         if job is None:
             return
-        job.kept_until = now + KEPT_JOB_S
+        job.remove_origin(origin)
+        job.keeper = origin
+        job.kept_until = job.orphaned_at = now + KEPT_JOB_S
         self._log(events.Event.ZONE_JOB_KEPT, job=job.id)
 
     def record_remote_job(self, job_id: str, zone: str, now: float) -> None:
@@ -350,13 +356,13 @@
         if is_silent:
             self._announce_jobs_of(origin, now)
         for job in list(self.tables.jobs.values()):
-            if origin not in job.origins:
+            if origin not in job.origins and origin != job.keeper:
                 continue
-            if not is_silent and job.origins == {origin}:
-                job.origins.clear()
-                job.orphaned_at = now
-            else:
+            if is_silent:
                 self.cancel(job.id, origin, "entry lost", now)
+                continue
+            job.remove_origin(origin)
+            job.orphaned_at = now if job.keeper is None else job.kept_until
 
     def _end_orphaned_jobs(self, now: float) -> None:
         """Cancels jobs without an origin for ORPHAN_TIMEOUT_S."""
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -122,9 +122,9 @@
         self.placer.cancel(job_id, origin, reason, clock.now())
         self._dispatcher.wake()
 
-    def keep_job(self, job_id: str) -> None:
+    def keep_job(self, job_id: str, origin) -> None:
         """Keeps a job running past its deadline for its client's retry."""
-        self.placer.keep_job(job_id, clock.now())
+        self.placer.keep_job(job_id, origin, clock.now())
 
     def record_remote_job(self, job_id: str, zone: str) -> None:
         """Records that another zone keeps running a job."""
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -278,7 +278,11 @@
                 )
             case intake_lib.KeepJob(peer_id, job_id):
                 link = self.link_to(dispatcher, peer_id)
-                self.send(link, lambda owner, at: self.keep(owner, job_id, at))
+                session = link.session
+                self.send(
+                    link,
+                    lambda owner, at: self.keep(owner, job_id, session, at),
+                )
             case intake_lib.AnnounceKeptJob(peer_id, job_id, zone):
                 link = self.link_to(dispatcher, peer_id)
                 self.send(
@@ -289,9 +293,9 @@
     def link_to(self, dispatcher, peer_id):
         return self.links[(dispatcher, peer_id.rpartition("-")[0])]
 
-    def keep(self, owner, job_id, now):
+    def keep(self, owner, job_id, session, now):
         self.kept_count += 1
-        owner.placer.keep_job(job_id, now)
+        owner.placer.keep_job(job_id, session, now)
         self.share(owner, job_id)
 
     def announce(self, link, job_id, zone, now):
--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -148,7 +148,7 @@
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=1.0)
         self.crash(placer, run.server, 0.1)
-        placer.keep_job(run.key.job_id, 1.0)
+        placer.keep_job(run.key.job_id, "dispatcher", 1.0)
         for now in (1.2, 1.5, 2.0):
             self.assertEqual(self.start(placer, now)[0], [])
 
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -468,8 +468,8 @@
     def setUp(self):
         self.simulation = ScriptedSimulation()
 
-    def check(self):
-        self.simulation.run_until(3.5)
+    def check(self, until=3.5):
+        self.simulation.run_until(until)
         self.assertIn(JOB, self.simulation.server_pool.started_jobs)
         text = self.simulation.describe_violations()
         self.assertEqual(self.simulation.server_pool.violations, [], text)
@@ -564,6 +564,23 @@
         simulation.lose_placer("zone-a")
         self.check()
 
+    def test_a_kept_job_whose_client_returns_elsewhere_and_leaves(self):
+        simulation = self.simulation
+        step = build.step(1, estimate_s=2.5)
+        queue = build.queue(target_latency_s=60.0)
+        job = build.submission(JOB, step=step, left_s=4.0, queue=queue)
+        simulation.server_pool.job_length_s[JOB] = 20.0
+        # The dispatcher of zone-b sends it to zone-a.
+        simulation.learn("zone-b", JOB, "zone-a", 0.2)
+        simulation.target = "zone-b"
+        simulation.send_job(job, 4)
+        simulation.run_until(4.3)  # answered 504, and kept
+        simulation.target = "zone-a"
+        simulation.run_until(7.5)
+        simulation.leave_now(job)
+        simulation.target = "zone-b"
+        self.check(until=10.5)
+
     def test_a_resumed_placer_that_renews_a_lease_once_more(self):
         simulation = self.simulation
         simulation.submit("zone-a", JOB)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -91,11 +91,54 @@
             runs = build.starts(self.submit(placer, left_s=0.5))
             self.confirm(placer, runs, 0.4)
             if is_kept:
-                placer.keep_job("00000000000000aa", 0.52)
+                placer.keep_job("00000000000000aa", "dispatcher", 0.52)
             placer.tick(0.81)
             stopped = build.stops(placer.take_orders())
             self.assertEqual(stopped, [] if is_kept else runs)
 
+    def keep(self, placer):
+        """Submits a job, and keeps it running past its deadline."""
+        runs = build.starts(self.submit(placer, left_s=0.5))
+        self.confirm(placer, runs, 0.4)
+        placer.keep_job(runs[0].key.job_id, "dispatcher", 0.52)
+        placer.take_orders()
+        return runs
+
+    def test_a_kept_job_ends_when_the_client_that_returned_leaves(self):
+        placer = build.placer()
+        runs = self.keep(placer)
+        job_id = runs[0].key.job_id
+        placer.submit(build.submission(), "other dispatcher", 1.0)
+        placer.cancel(job_id, "other dispatcher", "caller left", 1.1)
+        self.assertEqual(build.stops(placer.take_orders()), runs)
+
+    def test_a_kept_job_that_is_cancelled_goes_on_for_a_client_that_returned(
+        self,
+    ):
+        placer = build.placer()
+        (run, _) = self.keep(placer)
+        placer.submit(build.submission(), "other dispatcher", 1.0)
+        placer.cancel(run.key.job_id, "dispatcher", "zone may not know", 1.1)
+        self.assertEqual(build.stops(placer.take_orders()), [])
+
+    def test_a_kept_job_ends_with_the_dispatcher_that_keeps_it(self):
+        for is_silent, ends_at in ((True, 0.7), (False, 1.02)):
+            placer = build.placer()
+            runs = self.keep(placer)
+            placer.remove_origin("dispatcher", is_silent, 0.7)
+            placer.tick(ends_at)
+            self.assertEqual(build.stops(placer.take_orders()), runs)
+
+    def test_a_kept_job_outlives_the_link_of_a_client_that_returned(self):
+        placer = build.placer()
+        job_id = self.keep(placer)[0].key.job_id
+        placer.submit(build.submission(left_s=9.0), "other dispatcher", 1.0)
+        placer.remove_origin("other dispatcher", False, 1.1)
+        placer.tick(2.0)
+        self.assertIn(job_id, placer.tables.jobs)
+        placer.tick(2.9)
+        self.assertNotIn(job_id, placer.tables.jobs)
+
     def test_a_job_that_another_zone_keeps_running_does_not_start(self):
         placer = build.placer()
         placer.record_remote_job("00000000000000aa", "zone-b", 0.0)
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -309,7 +309,10 @@
             by index.
         possible_starts: Number of orders that may have started a task. A job
             with any can no longer be refused as not run.
-        orphaned_at: When its last origin was lost.
+        orphaned_at: When its last origin was lost; for a kept job the end of
+            that time.
+        keeper: Session of the dispatcher that keeps it for a retry of its
+            client; None if none does.
         kept_until: Until when it may run past its deadline.
     """
 
@@ -333,8 +336,15 @@
     possible_starts: int = 0
     first_start_at: float | None = None
     orphaned_at: float = 0.0
+    keeper: object = None
     kept_until: float = 0.0
 
+    def remove_origin(self, origin) -> None:
+        """Removes the session of a dispatcher that waits or keeps the job."""
+        self.origins.discard(origin)
+        if origin == self.keeper:
+            self.keeper = None
+
     def key(self, index: int) -> TaskKey:
         """Returns the key of the task with this index."""
         return TaskKey(self.id, 0, 0, index)
