A retry at the dispatcher that keeps its job is not cancelled

Callers: a client that sent its job again after a 504 got a second 504 at its deadline, although the job ran. Cause: the record of the kept job outlived the retry. When the placer of another zone changed, the job was cancelled as one that this zone might not know, with the client waiting, and ended without an answer. Change: the record goes when the job's client returns; then a client waits for the job. Result: the new test in test_intake fails without it: CancelJob "zone may not know".

--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -242,6 +242,8 @@
         deadline_at = now + submission.left_s - DEADLINE_MARGIN_S
         request = Request(submission, now, deadline_at, [notify])
         self.requests[submission.job_id] = request
+        # If its placer keeps the job, it goes on for this request.
+        self._kept_jobs.pop(submission.job_id, None)
         unsettled = self._unsettled_jobs.pop(submission.job_id, None)
         if unsettled is not None:
             request.handovers = 1
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -205,6 +205,13 @@
         (order,) = self.cancel_orders(0.9)
         self.assertEqual((order.peer_id, order.job_id), ("p1", JOB))
 
+    def test_a_kept_job_that_returns_is_not_cancelled_any_more(self):
+        self.keep_job()
+        self.intake.confirm_kept_job("p2", JOB)
+        self.receive(0.8)
+        self.set_placers(0.9, placer(), placer("p3", "zone-b", epoch=2))
+        self.assertEqual(self.cancel_orders(0.9), [])
+
     def test_the_local_placer_learns_where_an_abandoned_job_ran(self):
         # Else it refuses the job as not run when its client sends it again.
         self.set_placers(0.0, placer(), placer("p2", "zone-b", free=20))
