Announcements of many jobs are encoded once and written together

Cause: each announced job was encoded for each link and written by itself. Change: the jobs of a tick are encoded once for the candidates of the zone and once for the other zones, and written to each link in one piece.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -462,13 +462,29 @@
         self._record_remote_job(job_id, self.zone)
         self._relay_kept_job(job_id, self.zone)
 
-    def announce_job(self, job_id: str) -> None:
-        """Tells the placers of all zones of a job that may run here."""
-        self.share_job(job_id)
-        message = messages.JobKept(job_id, self.zone, False)
+    def announce_jobs(self, job_ids: list[str]) -> None:
+        """Tells the placers of all zones of jobs that may run here.
+
+        They are many after a takeover, so each is encoded once and all are
+        written to a link together.
+        """
+        for job_id in job_ids:
+            self._record_remote_job(job_id, self.zone)
+        to_candidates, to_other_zones = (
+            b"".join(
+                peering.encode_frame(
+                    messages.JobKept(job_id, self.zone, is_relayed)
+                )
+                for job_id in job_ids
+            )
+            for is_relayed in (True, False)
+        )
         for link in self.hub.dialled_links.values():
-            if link.is_open and link.heartbeat.zone != self.zone:
-                link.post(message)
+            if link.is_open:
+                is_candidate = link.heartbeat.zone == self.zone
+                link.post_frame(
+                    to_candidates if is_candidate else to_other_zones
+                )
 
     def _relay_kept_job(self, job_id: str, zone: str) -> None:
         message = messages.JobKept(job_id, zone, True)
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -286,8 +286,15 @@
                 poller.due_at = math.inf
                 self._poll_if_due(poller, now)
         self.placer.tick(now)
+        announced_jobs = []
         for order in self.placer.take_orders():
-            self._execute(order)
+            match order:
+                case orders_lib.AnnounceJob(job_id):
+                    announced_jobs.append(job_id)
+                case _:
+                    self._execute(order)
+        if announced_jobs:
+            self._dispatcher.announce_jobs(announced_jobs)
 
     def _execute(self, order: orders_lib.Order) -> None:
         match order:
@@ -309,8 +316,6 @@
                     origin.post(message)
             case orders_lib.ShareJob(job_id):
                 self._dispatcher.share_job(job_id)
-            case orders_lib.AnnounceJob(job_id):
-                self._dispatcher.announce_job(job_id)
             case orders_lib.ShareLosses(key, task_losses):
                 self._dispatcher.share_losses(key, task_losses)
             case orders_lib.LogDecision(event, fields):
--- a/acacialine/tests/test_dispatcher.py
+++ b/acacialine/tests/test_dispatcher.py
@@ -3,9 +3,14 @@
 import types
 import unittest
 
+from acacialine import codec
 from acacialine import dispatcher as dispatcher_lib
 from acacialine import dispatchsettings
+from acacialine import links
 from acacialine import messages
+from acacialine import peering
+from acacialine import placerhost
+from acacialine.tests import zonebuilders as build
 
 JOB = "00000000000000aa"
 SETTINGS = """
@@ -33,6 +38,14 @@
     def post(self, message):
         self.posted.append(message)
 
+    def post_frame(self, frames):
+        while frames:
+            end = links.LENGTH_BYTES + int.from_bytes(
+                frames[: links.LENGTH_BYTES], "big"
+            )
+            frame, frames = frames[links.LENGTH_BYTES : end], frames[end:]
+            self.posted.append(codec.decode(frame).message)
+
 
 class SharedJobsTest(unittest.TestCase):
     def setUp(self):
@@ -41,12 +54,28 @@
         self.links = {z: FakeLink(z) for z in ("zone-a", "zone-b", "zone-c")}
         self.dispatcher.hub.dialled_links.update(self.links)
 
-    def test_an_announced_job_is_known_to_all_zones(self):
-        self.dispatcher.announce_job(JOB)
+    def test_announced_jobs_are_known_to_all_zones(self):
+        jobs = [JOB, "00000000000000bb"]
+        self.dispatcher.announce_jobs(jobs)
         for zone, link in self.links.items():
             is_relayed = zone == "zone-a"
-            expected = messages.JobKept(JOB, "zone-a", is_relayed)
-            self.assertEqual(link.posted, [expected])
+            expected = [messages.JobKept(j, "zone-a", is_relayed) for j in jobs]
+            self.assertEqual(link.posted, expected)
+        self.assertEqual(self.dispatcher.remote_jobs[JOB].zone, "zone-a")
+
+    def test_a_suspect_link_reaches_the_placer(self):
+        placer = build.placer()
+        self.dispatcher.placer_host = placerhost.PlacerHost(placer, 1)
+        session = peering.AcceptedLink("b1", outbox=object(), heard_at=0.0)
+        placer.submit(build.submission(), session.outbox, 0.0)
+        placer.tick(0.0)
+        placer.take_orders()
+        for is_suspect in (True, False):
+            session.is_suspect = is_suspect
+            self.dispatcher.hub.on_suspicion_changed(session)
+            new_orders = placer.take_orders()
+            announced = [JOB] if is_suspect else []
+            self.assertEqual(build.announced(new_orders), announced)
 
     def test_a_shared_job_is_known_if_its_placer_owns_the_zone_again(self):
         self.dispatcher.share_job(JOB)
