After a pause of a process its links are read before they count as silent

The check of the links could run first and would then announce the jobs of all dispatchers, and hold their tasks. Found by the reviewer, by reading. Change: a check that is more than one interval late passes over its links once. Result: the new test in test_peering fails without it.

--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -535,9 +535,17 @@
 
     async def run_silence_checks(self) -> None:
         """Ends accepted links on which no message arrives any more."""
+        checked_at = clock.now()
+        was_late = False
         while True:
             await trio.sleep(SILENCE_CHECK_INTERVAL_S)
             now = clock.now()
+            is_late = now - checked_at > 2 * SILENCE_CHECK_INTERVAL_S
+            checked_at = now
+            # After a pause of this process, what has arrived is read first.
+            was_late = is_late and not was_late
+            if was_late:
+                continue
             for session in list(self._sessions):
                 if session.has_failed(now):
                     session.is_silent = True
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -193,6 +193,26 @@
 
         self.run_scenario(scenario)
 
+    def test_after_a_pause_of_this_process_no_peer_is_suspect(self):
+        node = Node(1)
+        session = peering.AcceptedLink("p1", mock.Mock(), heard_at=0.0)
+        session.record_job(0.0)
+        node.hub._sessions.add(session)
+        times = [0.0, 0.15, 0.95]
+
+        async def sleep(seconds):
+            if len(times) == 1:
+                raise LookupError  # ends the checks
+            times.pop(0)
+
+        with (
+            mock.patch.object(peering.clock, "now", lambda: times[0]),
+            mock.patch.object(peering.trio, "sleep", sleep),
+            self.assertRaises(LookupError),
+        ):
+            trio.run(node.hub.run_silence_checks)
+        self.assertEqual(node.suspected, [])
+
     def test_malformed_frames_end_the_link(self):
         async def scenario(acceptor, dialler, link):
             for frame in (b"\x00\x00\x00\x02zz", b"\xff\xff\xff\xff"):
