Wording and a test after the review

The texts of AnnounceJob, JobKept, lost_owner_s and RemoteJob.until said more than is so, and MAX_ORDER_DELAY_S did not say that it is assumed. A test shows that starts held after a restart are announced; no test had caught the reviewer's mutant. No decision changes.

--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -53,8 +53,9 @@
 
     @property
     def lost_owner_s(self) -> float:
-        """Time after which all runs of a lost owner have ended.
+        """Time after which the leases that a lost owner gave have ended.
 
+        Leases that others extend are announced by the placer that extends them.
         A successor may list a run just before its lease ends, renew the lease
         until the adoption timeout and then lose the backend server.
         """
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -484,10 +484,12 @@
 
 @attrs.frozen
 class JobKept:
-    """Notice that a zone may run a job for which no client waits now.
+    """Notice that a zone may run a job for which no client may be waiting.
 
-    A dispatcher sends it to the placers of other zones, which confirm it. A
-    placer sends it to the candidates of its zone, one of which may succeed it.
+    It is kept for a retry of its client, or runs of it go on without a job. A
+    dispatcher or the placer of that zone sends it to the placers of other
+    zones, which confirm it. A placer sends it to the candidates of its zone,
+    one of which may succeed it.
 
     Attributes:
         job_id: The job.
--- a/acacialine/orders.py
+++ b/acacialine/orders.py
@@ -72,8 +72,9 @@
 class AnnounceJob:
     """Order: tell the placers of all zones of a job whose runs may go on.
 
-    No client of this zone waits for it. Its client may send it again to any
-    zone, which must not start it beside these runs.
+    Its job has ended, no job has claimed them, or the dispatcher that waits may
+    be lost. The client may send the job again to any zone, which must not start
+    it beside these runs.
     """
 
     job_id: str
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -618,6 +618,18 @@
             new_orders = self.poll_later(placer, run.server, 1.3, 1.31)
             self.assertEqual([r.number for r in build.starts(new_orders)], [2])
 
+    def test_all_zones_learn_of_a_start_that_is_held_after_a_restart(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        placer.runs.handle_start_result(run, orders.StartOutcome.UNKNOWN, 0.1)
+        placer.runs.handle_stop_result(run, True, 0.11)
+        self.poll_later(placer, run.server, 0.2, 0.21)
+        run.server.lease_until = 9.0
+        self.restart(placer, run.server, 2, 0.3)
+        self.assertIn(run.id, run.server.runs)
+        announced_at = self.announced_at(placer, (0.32, 0.42))
+        self.assertEqual(announced_at, [0.42])
+
     def test_a_late_start_is_awaited_for_a_limited_time(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         (run,) = build.starts(
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -22,7 +22,9 @@
 LINGER_S = 0.1
 # Interval of the announcements of a job with such runs; some are lost.
 ANNOUNCE_INTERVAL_S = 0.3
-MAX_ORDER_DELAY_S = 13.0  # after this an order without a response has no effect
+# Assumed time after which an order without a response has no effect any more;
+# the platform names no bound.
+MAX_ORDER_DELAY_S = 13.0
 # Time in which polls show a resumed process that it has a successor.
 RESUME_CHECK_S = 0.1
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
@@ -257,10 +259,10 @@
                     self._restart_stalled(run, now)
 
     def _record_lingering(self, run: zonetables.Run, now: float) -> None:
-        """Announces the job of a run that goes on long after it has ended.
+        """Announces and logs a run that has had no job for LINGER_S.
 
-        An earlier owner of the zone may have had the job, and have been lost
-        with the dispatcher that knew of it.
+        Its job has ended, or an earlier owner of the zone had the job and was
+        lost with the dispatcher that knew of it.
         """
         self.announce(run.key.job_id, now)
         if run.is_lingering:
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -383,7 +383,7 @@
     Attributes:
         zone: The zone of that placer, which may be an earlier owner of the
             local zone.
-        until: When all its runs there have certainly ended.
+        until: When its runs there have ended, unless that zone tells again.
     """
 
     zone: str
