News of one zone that may run a job does not replace that of another

Callers: a task could run twice if two zones might run it and the news of the own zone came last. Cause: the table held one zone for a job, the last that was heard of. Change: it holds the end of the runs by zone. A job that may have started here and in another zone waits for that one, as since. Result: the new test in test_placer fails without it.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -138,17 +138,17 @@
             job.deadline_at = max(job.deadline_at, now + submission.left_s)
             self._log(events.Event.ZONE_JOB_ATTACHED, job=job.id)
             return
+        other_zone = None
         remote = tables.remote_jobs.get(submission.job_id)
-        if remote is not None and now >= remote.until:
-            remote = None
-        if remote is not None and remote.zone == tables.zone:
-            # An earlier owner of this zone may have started it.
-            submission = attrs.evolve(
-                submission, handovers=max(1, submission.handovers)
-            )
-            remote = None
-        elif remote is not None and not submission.handovers:
-            self._send_elsewhere(submission.job_id, (origin,), remote.zone)
+        if remote is not None:
+            other_zone = remote.other_zone(tables.zone, now)
+            if remote.may_run_in(tables.zone, now):
+                # An earlier owner of this zone may have started it.
+                submission = attrs.evolve(
+                    submission, handovers=max(1, submission.handovers)
+                )
+        if other_zone is not None and not submission.handovers:
+            self._send_elsewhere(submission.job_id, (origin,), other_zone)
             return
         ended_job = tables.ended_jobs.get(submission.job_id)
         if ended_job is not None and ended_job.verdict in (
@@ -162,8 +162,8 @@
             )
             return
         job = self._new_job(submission, origin, ended_job, now)
-        if remote is not None:
-            job.not_before = remote.until
+        if other_zone is not None:
+            job.not_before = remote.ends_by_zone[other_zone]
         if submission.handovers:
             self.runs.adopt(job)
         if tables.losses.is_given_up(job.id):
--- a/acacialine/tests/test_dispatcher.py
+++ b/acacialine/tests/test_dispatcher.py
@@ -61,7 +61,7 @@
             is_relayed = zone == "zone-a"
             expected = [messages.JobKept(j, "zone-a", is_relayed) for j in jobs]
             self.assertEqual(link.posted, expected)
-        self.assertEqual(self.dispatcher.remote_jobs[JOB].zone, "zone-a")
+        self.assertIn("zone-a", self.dispatcher.remote_jobs[JOB].ends_by_zone)
 
     def test_a_suspect_link_reaches_the_placer(self):
         placer = build.placer()
@@ -80,7 +80,7 @@
     def test_a_shared_job_is_known_if_its_placer_owns_the_zone_again(self):
         self.dispatcher.share_job(JOB)
         self.assertEqual(self.links["zone-b"].posted, [])
-        self.assertEqual(self.dispatcher.remote_jobs[JOB].zone, "zone-a")
+        self.assertIn("zone-a", self.dispatcher.remote_jobs[JOB].ends_by_zone)
 
 
 if __name__ == "__main__":
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -171,13 +171,26 @@
         new_orders = self.submit(placer, 0.1, handovers=1, left_s=9.0)
         self.assertEqual(build.starts(new_orders), [])
         self.assertEqual(build.answers(new_orders), [])
-        until = placer.tables.remote_jobs[job_id].until
+        until = placer.tables.remote_jobs[job_id].ends_at
         placer.handle_process_pause(0.2)
         (server,) = placer.tables.servers.values()
         self.assertEqual(build.starts(self.poll(placer, server, 0.9)), [])
         placer.tick(until + 0.01)
         self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
+    def test_news_of_one_zone_does_not_replace_that_of_another(self):
+        placer = build.placer()
+        job_id = build.submission().job_id
+        placer.record_remote_job(job_id, "zone-b", 0.0)
+        placer.record_remote_job(job_id, "zone-a", 0.1)  # the local one
+        new_orders = self.submit(placer, 0.2, left_s=9.0)
+        self.assertEqual(build.starts(new_orders), [])
+        self.assertEqual(build.answers(new_orders), [])
+        until = placer.tables.remote_jobs[job_id].ends_by_zone["zone-b"]
+        placer.tick(until + 0.01)
+        numbers = [r.number for r in build.starts(placer.take_orders())]
+        self.assertEqual(numbers, [17, 17])
+
     def test_a_started_job_that_another_zone_may_run_starts_no_more(self):
         placer = build.placer(build.server(cpu=7000))
         (run,) = build.starts(self.submit(placer, left_s=9.0))
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -378,16 +378,32 @@
 
 @attrs.frozen
 class RemoteJob:
-    """A job that another placer may run although no client waits for it.
+    """A job that other placers may run although no client may be waiting.
 
     Attributes:
-        zone: The zone of that placer, which may be an earlier owner of the
-            local zone.
-        until: When its runs there have ended, unless that zone tells again.
+        ends_by_zone: When its runs in a zone have ended, unless that zone tells
+            again. The local zone stands for an earlier owner.
     """
 
-    zone: str
-    until: float
+    ends_by_zone: dict[str, float]
+
+    @property
+    def ends_at(self) -> float:
+        """When its runs have ended in all zones."""
+        return max(self.ends_by_zone.values())
+
+    def may_run_in(self, zone: str, now: float) -> bool:
+        """Returns whether a zone may run it."""
+        return now < self.ends_by_zone.get(zone, -1.0)
+
+    def other_zone(self, zone: str, now: float) -> str | None:
+        """Returns the zone but one that may run it longest; None if none."""
+        others = [
+            (end, other)
+            for other, end in self.ends_by_zone.items()
+            if other != zone and now < end
+        ]
+        return max(others)[1] if others else None
 
 
 @attrs.define(eq=False)
@@ -450,8 +466,10 @@
     remote_jobs: dict[str, RemoteJob], job_id: str, zone: str, until: float
 ) -> None:
     """Adds a job to a table of remote jobs, in the order of their expiry."""
-    remote_jobs.pop(job_id, None)
-    remote_jobs[job_id] = RemoteJob(zone, until)
+    known = remote_jobs.pop(job_id, None)
+    ends_by_zone = dict(known.ends_by_zone) if known else {}
+    ends_by_zone[zone] = until
+    remote_jobs[job_id] = RemoteJob(ends_by_zone)
 
 
 def drop_expired_remote_jobs(
@@ -460,7 +478,7 @@
     """Removes the remote jobs whose runs have certainly ended."""
     while remote_jobs:
         job_id = next(iter(remote_jobs))
-        if now < remote_jobs[job_id].until:
+        if now < remote_jobs[job_id].ends_at:
             return
         del remote_jobs[job_id]
 
