Backend servers that fall silent never give a task up

Cause: three losses for unknown reasons gave a task up (MAX_LOSSES), and a silent server counted as such a loss once the lease had ended. A loss that was upgraded when its server restarted later counted as a crash too, though its run had lapsed before.

Evidence: test_silent_servers_never_give_a_task_up failed before: AssertionError: 1 != 0 (jobs with losses after the first silent server)

Why it works: only crashes are counted. `unexplained` and the later upgrade are gone, as nothing else used them.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -519,7 +519,6 @@
             key.job_id,
             key.index,
             task_losses.crashes,
-            task_losses.unexplained,
             False,
         )
         for link in self.hub.dialled_links.values():
@@ -533,7 +532,7 @@
         self.losses.merge(
             message.job_id,
             message.index,
-            losses_lib.TaskLosses(message.crashes, message.unexplained),
+            losses_lib.TaskLosses(message.crashes),
             now,
         )
         if self.placer_host is None or message.is_relayed:
--- a/acacialine/losses.py
+++ b/acacialine/losses.py
@@ -9,38 +9,24 @@
 import attrs
 
 MAX_CRASHES = 2  # a task under which so many servers crashed is given up
-MAX_LOSSES = 3  # the same for servers that crashed or never responded again
 RETENTION_S = 60.0  # clients send a job again within seconds
 MAX_JOBS = 10_000  # those with the oldest losses are dropped
 
 
 @attrs.frozen
 class TaskLosses:
-    """How often the backend server of a task was lost while it ran.
-
-    Attributes:
-        crashes: Servers that have crashed.
-        unexplained: Servers that did not respond until the lease had ended,
-            and of which nothing else is known.
-    """
+    """How often the backend server of a task has crashed while it ran."""
 
     crashes: int = 0
-    unexplained: int = 0
 
     @property
     def is_given_up(self) -> bool:
         """Whether the task must not start any more."""
-        return (
-            self.crashes >= MAX_CRASHES
-            or self.crashes + self.unexplained >= MAX_LOSSES
-        )
+        return self.crashes >= MAX_CRASHES
 
     def merge(self, other: "TaskLosses") -> "TaskLosses":
         """Returns what two placers know together."""
-        return TaskLosses(
-            max(self.crashes, other.crashes),
-            max(self.unexplained, other.unexplained),
-        )
+        return TaskLosses(max(self.crashes, other.crashes))
 
 
 NO_LOSSES = TaskLosses()
@@ -78,35 +64,16 @@
         job = self._jobs.get(job_id)
         return bool(job) and any(t.is_given_up for t in job.tasks.values())
 
-    def add(
-        self, job_id: str, index: int, is_crash: bool, now: float
-    ) -> TaskLosses:
-        """Counts the loss of a server; returns the losses of the task."""
+    def add(self, job_id: str, index: int, now: float) -> TaskLosses:
+        """Counts the crash of a server; returns the losses of the task."""
         known = self.get(job_id, index)
-        if is_crash:
-            counted = attrs.evolve(known, crashes=known.crashes + 1)
-        else:
-            counted = attrs.evolve(known, unexplained=known.unexplained + 1)
+        counted = TaskLosses(known.crashes + 1)
         return self._replace(job_id, index, counted, now)
 
-    def confirm_crash(self, job_id: str, index: int, now: float) -> TaskLosses:
-        """Counts an unexplained loss as a crash; returns the losses."""
-        known = self.get(job_id, index)
-        explained = TaskLosses(known.crashes + 1, max(0, known.unexplained - 1))
-        return self._replace(job_id, index, explained, now)
-
-    def retract(
-        self, job_id: str, index: int, is_crash: bool, now: float
-    ) -> None:
+    def retract(self, job_id: str, index: int, now: float) -> None:
         """Counts a loss no longer, as the server has not crashed."""
         known = self.get(job_id, index)
-        if is_crash:
-            left = attrs.evolve(known, crashes=max(0, known.crashes - 1))
-        else:
-            left = attrs.evolve(
-                known, unexplained=max(0, known.unexplained - 1)
-            )
-        self._replace(job_id, index, left, now)
+        self._replace(job_id, index, TaskLosses(max(0, known.crashes - 1)), now)
 
     def merge(
         self, job_id: str, index: int, losses: TaskLosses, now: float
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -511,7 +511,7 @@
 
 @attrs.frozen
 class TaskLost:
-    """Notice of how often backend servers were lost while they ran a task.
+    """Notice of how often backend servers have crashed while they ran a task.
 
     A placer sends it to the candidates of its zone and to the other zones,
     whose placers relay it to their candidates.
@@ -520,14 +520,12 @@
         job_id: The job.
         index: Index of the task in the job.
         crashes: See `losses.TaskLosses`.
-        unexplained: See `losses.TaskLosses`.
         is_relayed: Whether the receiver is not to relay it.
     """
 
     job_id: str
     index: int
     crashes: int
-    unexplained: int
     is_relayed: bool
 
 
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -247,8 +247,6 @@
                     and now > run.not_after
                     and run.state != zonetables.RunState.STARTING
                 ):
-                    if server.unresponsive_since is not None:
-                        self._count_loss(run, now)
                     self._handle_run_end(run, zonetables.EndKind.LOST, now)
                 elif run.job is None or run.state in (
                     zonetables.RunState.STOPPING,
@@ -320,11 +318,6 @@
                 evidence=evidence,
                 runs=len(server.runs),
             )
-            for key in server.lost_tasks:
-                counted = self.tables.losses.confirm_crash(
-                    key.job_id, key.index, now
-                )
-                self._apply_losses(key, server, counted, now)
         for run in list(server.runs.values()):
             self._count_loss(run, now)
 
@@ -335,17 +328,13 @@
             self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
 
     def _count_loss(self, run: zonetables.Run, now: float) -> None:
-        """Counts the loss of the server of a run, at most once a run."""
+        """Counts the crash of the server of a run, at most once a run."""
         if run.is_loss_counted or not run.may_have_started:
             return
         run.is_loss_counted = True
         server = run.server
-        if server.draining:
-            return
         server.lost_tasks.append(run.key)
-        counted = self.tables.losses.add(
-            run.key.job_id, run.key.index, server.has_crashed, now
-        )
+        counted = self.tables.losses.add(run.key.job_id, run.key.index, now)
         self._apply_losses(run.key, server, counted, now)
 
     def _retract_losses(self, server: zonetables.Server, now: float) -> None:
@@ -357,9 +346,7 @@
         if not server.lost_tasks and not server.has_crashed:
             return
         for key in server.lost_tasks:
-            self.tables.losses.retract(
-                key.job_id, key.index, server.has_crashed, now
-            )
+            self.tables.losses.retract(key.job_id, key.index, now)
         server.lost_tasks.clear()
         server.has_crashed = False
         for run in server.runs.values():
@@ -378,7 +365,6 @@
             task=key,
             server=server.id,
             crashes=counted.crashes,
-            unexplained=counted.unexplained,
             given_up=int(counted.is_given_up),
         )
         self.emit(orders_lib.ShareLosses(key, counted))
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -125,7 +125,7 @@
             client says no while the start waits for a connection.
         is_isolated: Whether no other run may share its server, as its task is
             suspected of crashing servers.
-        is_loss_counted: Whether the loss of its server has been counted.
+        is_loss_counted: Whether the crash of its server has been counted.
     """
 
     key: TaskKey
@@ -210,8 +210,8 @@
         isolated_runs: Number of runs that may not share it.
         has_crashed: Whether it is known to have crashed since its last
             response.
-        lost_tasks: Tasks whose losses were counted since its last response, as
-            crashes if it is known to have crashed.
+        lost_tasks: Tasks for which its crash was counted since its last
+            response.
         version: Increases when its capacity or a run changes.
         slot_cache: Slots computed for one version; see `schedule`.
     """
