Starts that may have had no effect are not lost with their server

Cause: `_count_loss` asked `may_have_started`, which holds for every start that was sent. A run that was told to stop and may have ended counted too.

Why it works: a crash counts only for a run whose start was confirmed or which a poll has listed, and to which no stop was sent.

--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -328,8 +328,16 @@
             self._handle_run_end(run, zonetables.EndKind.CRASHED, now)
 
     def _count_loss(self, run: zonetables.Run, now: float) -> None:
-        """Counts the crash of the server of a run, at most once a run."""
-        if run.is_loss_counted or not run.may_have_started:
+        """Counts the crash of the server of a run, at most once a run.
+
+        A start without a response may have had no effect, and a run that was
+        told to stop may have ended before.
+        """
+        if (
+            run.is_loss_counted
+            or run.confirmed_at is None
+            or run.stop_sent_at is not None
+        ):
             return
         run.is_loss_counted = True
         server = run.server
