Runs whose lease may have ended are not lost with their server

Cause: a run stays in the tables until its lease has ended for certain, and during a cut every poll that may have reached the server extends that. Any evidence of a crash in that time counted.

Why it works: `renewed_at` is when the last request was sent that has certainly renewed the lease: the confirmed start, or a poll that listed a run with a job. A crash counts only within the length of a lease from then, less the margin for the delay of the request. Polls without a response don't move it.

--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -38,6 +38,11 @@
         """Time after which a lease has ended, also on the slowest clock."""
         return self.length_s / SLOWEST_CLOCK_RATE + RENEWAL_MARGIN_S
 
+    @property
+    def min_lease_s(self) -> float:
+        """Time for which a lease lasts for certain after its request."""
+        return self.length_s - RENEWAL_MARGIN_S
+
     @property
     def superseded_owner_s(self) -> float:
         """Time after which all runs of an owner with a successor have ended.
--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -193,6 +193,30 @@
             self.assertEqual(len(placer.tables.losses), 0)
         self.assertEqual(len({s.id for s in servers[:4]}), 4)
 
+    def test_a_lapsed_run_is_not_lost_with_its_server(self):
+        # At 1.04 the lease has ended, but not for certain; at 1.2 it has.
+        for crashed_at in (1.04, 1.2):
+            for crash in (self.crash, self.restart):
+                placer = build.placer(build.server("i-1"), build.server("i-2"))
+                job = {"step": build.step(1), "left_s": 9.0}
+                (run,), _ = self.start(placer, 0.0, **job)
+                run.server.lease_until = run.not_after = 1.1
+                placer.runs.record_poll_timeout(run.server, 0.1)
+                if crashed_at > 1.1:
+                    placer.tick(crashed_at)
+                crash(placer, run.server, crashed_at + 0.01)
+                key = (run.key.job_id, run.key.index)
+                self.assertFalse(placer.tables.losses.is_suspect(*key))
+
+    def test_a_poll_that_lists_a_run_renews_its_lease(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=9.0)
+        self.list_run(placer, run, 0.8)
+        run.server.lease_until = run.not_after = 1.9
+        self.crash(placer, run.server, 1.5)
+        losses = placer.tables.losses
+        self.assertTrue(losses.is_suspect(run.key.job_id, run.key.index))
+
     def test_a_start_without_effect_is_not_lost_with_its_server(self):
         for crash in (self.crash, self.restart):
             for is_doubtful in (False, True):
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -168,6 +168,7 @@
             case orders_lib.StartOutcome.STARTED:
                 serverhealth.record_response(server)
                 run.confirm(now)
+                run.renewed_at = max(run.renewed_at, run.sent_at)
                 run.progress_at = now
                 if run.state == zonetables.RunState.STARTING:
                     run.state = zonetables.RunState.RUNNING
@@ -331,12 +332,13 @@
         """Counts the crash of the server of a run, at most once a run.
 
         A start without a response may have had no effect, and a run that was
-        told to stop may have ended before.
+        told to stop or whose lease may have ended was perhaps gone before.
         """
         if (
             run.is_loss_counted
             or run.confirmed_at is None
             or run.stop_sent_at is not None
+            or now - run.renewed_at > self.lease_times.min_lease_s
         ):
             return
         run.is_loss_counted = True
@@ -457,6 +459,8 @@
             if run.confirmed_at is None:
                 run.confirm(now)
             run.seen_at = now
+            if run.job is not None:
+                run.renewed_at = max(run.renewed_at, polled_at)
             if row.percent > run.percent or not run.progress_at:
                 run.progress_at = now
                 run.percent = row.percent
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -118,6 +118,8 @@
         percent: Progress that the backend server reported last.
         progress_at: When `percent` last increased.
         seen_at: When a poll last listed it.
+        renewed_at: When the last request was sent that has certainly renewed
+            its lease.
         expected_s: Expected duration on this backend server.
         is_start_known: Whether `sent_at` is when it started. It is not for a
             run that an earlier owner started.
@@ -143,6 +145,7 @@
     percent: int = 0
     progress_at: float = 0.0
     seen_at: float = 0.0
+    renewed_at: float = -1e9
     detached_at: float | None = None
     is_lingering: bool = False
     is_start_known: bool = True
