Property test: only crashes of backend servers count against a task

Servers are cut off for 0.2 to 2.5 s, crash (half of the times while cut off) and 5% or 15% of the orders are lost, late or get no answer. Each count that a placer shares, and each job that is given up, is compared with the crashes that the stand-ins have seen: a breach is noted as LOST.

An end `done` that no poll has listed when its server crashes counts as a crash here (`lost_end_counts`): the placer can't tell it from one.

--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -2,12 +2,14 @@
 
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
 from acacialine import intake as intake_lib
 from acacialine import losses as losses_lib
 from acacialine import orders
+from acacialine import placer as placer_lib
 from acacialine import zonetables
 from acacialine.tests import test_kept_jobs
 from acacialine.tests import zonebuilders as build
@@ -344,6 +346,55 @@
             self.server_pool.crashing_tasks.add(key)
 
 
+class CutSimulation(Simulation):
+    """The same, where servers are cut off for a while and some crash."""
+
+    CUT_RATE = 0.03  # chance in a tick
+    CRASH_RATE = 0.02
+
+    def build_job(self, job_id):
+        return attrs.evolve(super().build_job(job_id), left_s=4.0)
+
+    def tick(self):
+        if self.random.random() < self.CUT_RATE:
+            server = self.random.choice(list(self.server_pool.servers))
+            seconds = self.random.uniform(0.2, 2.5)
+            self.cut_off_until[server] = self.now + seconds
+        if self.random.random() < self.CRASH_RATE:
+            self.crash_a_server()
+        super().tick()
+
+    def crash_a_server(self):
+        """Crashes any server or, as often, one that is cut off."""
+        servers = list(self.server_pool.servers.values())
+        if self.random.random() < 0.5:
+            servers = [s for s in servers if self.is_cut_off(s.id)] or servers
+        server = self.random.choice(servers)
+        if not server.is_down(self.now):
+            server.down_until = self.now + self.server_pool.down_s
+            server.crash()
+
+    def share_losses(self, owner, key, task_losses):
+        """Checks that so many servers have crashed under a task."""
+        pool = self.server_pool
+        # An end that no poll has listed is lost with its server.
+        crashes = pool.crash_counts[key] + pool.lost_end_counts[key]
+        if task_losses.crashes > crashes:
+            pool.violations.append(f"LOST {key}: {task_losses} of {crashes}")
+        super().share_losses(owner, key, task_losses)
+
+    def answer(self, owner, order):
+        """Checks that two servers have crashed under a task given up."""
+        pool = self.server_pool
+        counts = pool.crash_counts + pool.lost_end_counts
+        if order.reason == placer_lib.GIVEN_UP_REASON and not any(
+            key.job_id == order.job_id and count >= losses_lib.MAX_CRASHES
+            for key, count in counts.items()
+        ):
+            pool.violations.append(f"LOST {order.job_id}: given up")
+        super().answer(owner, order)
+
+
 class CrashingTasksPropertyTest(unittest.TestCase):
     @hypothesis.settings(
         max_examples=test_kept_jobs.EXAMPLES, deadline=None, database=None
@@ -357,6 +408,21 @@
         simulation = Simulation(seed, fault_rate).run()
         self.assertEqual(simulation.server_pool.violations, [])
 
+    @hypothesis.settings(
+        max_examples=test_kept_jobs.EXAMPLES, deadline=None, database=None
+    )
+    @hypothesis.seed(20261204)
+    @hypothesis.given(
+        seed=strategies.integers(0, 2**32),
+        fault_rate=strategies.sampled_from((0.05, 0.15)),
+    )
+    def test_only_tasks_under_two_crashes_are_given_up(self, seed, fault_rate):
+        simulation = CutSimulation(seed, fault_rate).run()
+        lost = [
+            v for v in simulation.server_pool.violations if v.startswith("LOST")
+        ]
+        self.assertEqual(lost, [])
+
     def test_seeds_that_failed(self):
         # 4: a job was answered 504 while it had no placer, and ran twice.
         self.assertEqual(Simulation(4, 0.0).run().server_pool.violations, [])
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -25,6 +25,7 @@
         outlives_servers: Whether what is on its way outlives a restart: orders
             reach a later incarnation, whose clock starts anew, and responses
             of an earlier one arrive.
+        cut_off_until: Until when a backend server is cut off, by its id.
         late_orders: Number of orders that reached a later incarnation.
     """
 
@@ -38,6 +39,7 @@
         self.server_pool = fakeservers.FakeServerPool()
         self.now = 0.0
         self.late_orders = 0
+        self.cut_off_until = {}
         self._events = []
         self._event_numbers = itertools.count()
 
@@ -45,6 +47,10 @@
         """Returns the fake backend servers of a zone."""
         return list(self.server_pool.servers.values())
 
+    def is_cut_off(self, server_id):
+        """Returns whether nothing reaches or leaves a backend server."""
+        return self.now < self.cut_off_until.get(server_id, 0.0)
+
     def advance(self, seconds):
         """Carries out all that is due within some time."""
         until = self.now + seconds
@@ -105,7 +111,7 @@
             arrived_at: When it arrives.
         """
         fake = self.server_pool.servers[run.server.id]
-        if fake.is_down(arrived_at):
+        if fake.is_down(arrived_at) or self.is_cut_off(fake.id):
             return True
         if fake.incarnation == incarnation:
             return False
@@ -188,7 +194,8 @@
     def _poll(self, server, now):
         simulation = self.simulation
         fake = simulation.server_pool.servers[server.id]
-        if fake.is_down(now):
+        is_unreachable = simulation.is_cut_off(server.id)
+        if fake.is_down(now) and not is_unreachable:
             self.placer.runs.record_poll_timeout(server, now)
             self.placer.runs.record_crash(server, "refused", now)
             return
@@ -200,11 +207,16 @@
         ):
             lease = leases.new_lease(server, LEASE_S, now)
             server.lease_until = max(server.lease_until, lease.ends_by)
+        if is_unreachable:
+            simulation.at(
+                now + ANSWER_TIMEOUT_S,
+                lambda at: self.placer.runs.record_poll_timeout(server, at),
+            )
         delays = simulation.draw_poll_delays()
         last_ended_seq = server.last_ended_seq
 
         def deliver(arrived_at):
-            if fake.is_down(arrived_at):
+            if fake.is_down(arrived_at) or simulation.is_cut_off(server.id):
                 return
             until = 0.0
             if lease is not None:
@@ -214,7 +226,7 @@
             )
 
             def on_reply(received_at):
-                if self.is_closed:
+                if self.is_closed or simulation.is_cut_off(server.id):
                     return
                 if observation is None:
                     self._handle_fenced()
@@ -231,8 +243,9 @@
         simulation = self.simulation
         fake = simulation.server_pool.servers[run.server.id]
         # The first poll of a new connection shows an unknown incarnation.
-        if fake.is_down(now) or (
-            simulation.outlives_servers
+        if not simulation.is_cut_off(fake.id) and (
+            fake.is_down(now)
+            or simulation.outlives_servers
             and fake.incarnation != run.server.incarnation
         ):
             self.placer.runs.handle_start_result(
@@ -255,7 +268,11 @@
             outcome = fake.start(run, self.epoch, until, arrived_at)
 
             def on_reply(received_at):
-                if self.is_closed or has_outcome:
+                if (
+                    self.is_closed
+                    or has_outcome
+                    or simulation.is_cut_off(fake.id)
+                ):
                     return
                 has_outcome.append(True)
                 if outcome == orders.StartOutcome.FENCED:
@@ -290,7 +307,7 @@
             confirmed = fake.stop(run, self.epoch, arrived_at)
 
             def on_reply(received_at):
-                if not self.is_closed:
+                if not self.is_closed and not simulation.is_cut_off(fake.id):
                     is_current = run.server.incarnation == known_incarnation
                     self.placer.runs.handle_stop_result(
                         run, confirmed and is_current, received_at
--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -96,6 +96,9 @@
         for run in self.runs.values():
             self.server_pool.record_end(run)
             self.server_pool.crash_counts[run.key] += 1
+        for end in self.ended:
+            if end.kind == zonetables.EndKind.DONE:
+                self.server_pool.lost_end_counts[end.key] += 1
         self.runs.clear()
         self.highest_numbers.clear()
         self.ended.clear()
@@ -221,6 +224,8 @@
         shows_progress: Whether the listed progress rises with time; else all
             runs soon look stalled.
         crash_counts: Number of servers that crashed under a task.
+        lost_end_counts: Number of servers that crashed before the end `done` of
+            a task was acknowledged.
         late_start_counts: Number of starts of a task after MAX_CRASHES.
         running_counts: Number of present runs, by task key.
         started_jobs: Jobs of which a run has started.
@@ -240,6 +245,9 @@
     resize_grace_s: float = 4.5
     shows_progress: bool = False
     crash_counts: collections.Counter = attrs.field(factory=collections.Counter)
+    lost_end_counts: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
     late_start_counts: collections.Counter = attrs.field(
         factory=collections.Counter
     )
