--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -219,6 +219,16 @@
         losses = placer.tables.losses
         self.assertTrue(losses.is_suspect(run.key.job_id, run.key.index))
 
+    def test_a_poll_right_after_a_pause_renews_no_lease(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=9.0)
+        placer.handle_process_pause(0.8)
+        self.list_run(placer, run, 0.85)
+        run.server.lease_until = run.not_after = 1.9
+        self.crash(placer, run.server, 1.5)
+        losses = placer.tables.losses
+        self.assertFalse(losses.is_suspect(run.key.job_id, run.key.index))
+
     def test_a_start_without_effect_is_not_lost_with_its_server(self):
         for crash in (self.crash, self.restart):
             for is_doubtful in (False, True):
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -459,7 +459,10 @@
             if run.confirmed_at is None:
                 run.confirm(now)
             run.seen_at = now
-            if run.job is not None:
+            if (
+                run.job is not None
+                and polled_at >= self.resumed_at + RESUME_CHECK_S
+            ):
                 run.renewed_at = max(run.renewed_at, polled_at)
             if row.percent > run.percent or not run.progress_at:
                 run.progress_at = now
