Successive placers of a process do not share the late starts of a server

Cause: the table of a server's late starts, new in, was shared between the list of the store reader and each placer made from it, so a placer that owned its zone again took over runs that belong to the server entries of its predecessor. Change: each placer gets an empty one. Result: the new test in test_storereader fails without it ("unexpectedly identical: {} : late_starts") and looks at all such fields.

--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -87,7 +87,9 @@
     def servers_of(self, zone: str) -> list[zonetables.Server]:
         """Returns the backend servers of a zone that the store lists."""
         return [
-            attrs.evolve(s, runs={}, recently_ended={}, lost_tasks=[])
+            attrs.evolve(
+                s, runs={}, recently_ended={}, lost_tasks=[], late_starts={}
+            )
             for s in self._servers.values()
             if s.zone == zone
         ]
--- a/acacialine/tests/test_storereader.py
+++ b/acacialine/tests/test_storereader.py
@@ -3,12 +3,15 @@
 import types
 import unittest
 
+import attrs
 import trio
 
 from acacialine import ownership
 from acacialine import storereader
+from acacialine import zonetables
 from acacialine.platform import store as store_lib
 from acacialine.tests import support
+from acacialine.tests import zonebuilders as build
 
 
 class FakeDispatcher:
@@ -35,6 +38,15 @@
         self.dispatcher = FakeDispatcher()
         self.reader = storereader.StoreReader(self.dispatcher)
 
+    def test_placers_do_not_share_what_they_know_of_a_server(self):
+        self.reader._servers = {"i-1": build.server("i-1")}
+        (first,) = self.reader.servers_of("zone-a")
+        (second,) = self.reader.servers_of("zone-a")
+        for field in attrs.fields(zonetables.Server):
+            value = getattr(first, field.name)
+            if isinstance(value, (dict, list, set)):
+                self.assertIsNot(value, getattr(second, field.name), field.name)
+
     def count_reads(self, read, seconds):
         """Returns how often a reader is restarted within some time."""
         reads = []
