A task whose servers crash before they answer its start is given up, too

Cause: since a start without a response counts for nothing when its server crashes. Change: such crashes are counted apart as uncertain and shared as before. One alone proves nothing; four of them, certain ones included, give the task up, so that it is started at most five times, as the rule for crashing tasks allows.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -209,7 +209,7 @@
   jobId @0 :Text;
   index @1 :UInt32;
   crashes @2 :UInt32;
-  unexplained @3 :UInt32;  # no longer used
+  uncertain @3 :UInt32;
   isRelayed @4 :Bool;
 }
 
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -519,6 +519,7 @@
             key.job_id,
             key.index,
             task_losses.crashes,
+            task_losses.uncertain,
             False,
         )
         for link in self.hub.dialled_links.values():
@@ -532,7 +533,7 @@
         self.losses.merge(
             message.job_id,
             message.index,
-            losses_lib.TaskLosses(message.crashes),
+            losses_lib.TaskLosses(message.crashes, message.uncertain),
             now,
         )
         if self.placer_host is None or message.is_relayed:
--- a/acacialine/losses.py
+++ b/acacialine/losses.py
@@ -9,24 +9,45 @@
 import attrs
 
 MAX_CRASHES = 2  # a task under which so many servers crashed is given up
+# The same for servers that crashed before they answered its start: one of these
+# alone proves nothing, as the start may have been lost.
+MAX_UNCERTAIN_CRASHES = 4
 RETENTION_S = 60.0  # clients send a job again within seconds
 MAX_JOBS = 10_000  # those with the oldest losses are dropped
 
 
 @attrs.frozen
 class TaskLosses:
-    """How often the backend server of a task has crashed while it ran."""
+    """How often the backend server of a task has crashed.
+
+    Attributes:
+        crashes: While the task certainly ran.
+        uncertain: While its start had no response.
+    """
 
     crashes: int = 0
+    uncertain: int = 0
 
     @property
     def is_given_up(self) -> bool:
         """Whether the task must not start any more."""
-        return self.crashes >= MAX_CRASHES
+        return (
+            self.crashes >= MAX_CRASHES
+            or self.crashes + self.uncertain >= MAX_UNCERTAIN_CRASHES
+        )
+
+    def change(self, is_certain: bool, by: int) -> "TaskLosses":
+        """Returns the losses with one kind of crashes more or fewer."""
+        if is_certain:
+            return attrs.evolve(self, crashes=max(0, self.crashes + by))
+        return attrs.evolve(self, uncertain=max(0, self.uncertain + by))
 
     def merge(self, other: "TaskLosses") -> "TaskLosses":
         """Returns what two placers know together."""
-        return TaskLosses(max(self.crashes, other.crashes))
+        return TaskLosses(
+            max(self.crashes, other.crashes),
+            max(self.uncertain, other.uncertain),
+        )
 
 
 NO_LOSSES = TaskLosses()
@@ -64,16 +85,19 @@
         job = self._jobs.get(job_id)
         return bool(job) and any(t.is_given_up for t in job.tasks.values())
 
-    def add(self, job_id: str, index: int, now: float) -> TaskLosses:
+    def add(
+        self, job_id: str, index: int, is_certain: bool, now: float
+    ) -> TaskLosses:
         """Counts the crash of a server; returns the losses of the task."""
-        known = self.get(job_id, index)
-        counted = TaskLosses(known.crashes + 1)
+        counted = self.get(job_id, index).change(is_certain, 1)
         return self._replace(job_id, index, counted, now)
 
-    def retract(self, job_id: str, index: int, now: float) -> None:
-        """Counts a loss no longer, as the server has not crashed."""
-        known = self.get(job_id, index)
-        self._replace(job_id, index, TaskLosses(max(0, known.crashes - 1)), now)
+    def retract(
+        self, job_id: str, index: int, is_certain: bool, now: float
+    ) -> None:
+        """Counts a crash no longer, as the server has not crashed."""
+        left = self.get(job_id, index).change(is_certain, -1)
+        self._replace(job_id, index, left, now)
 
     def merge(
         self, job_id: str, index: int, losses: TaskLosses, now: float
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -520,12 +520,14 @@
         job_id: The job.
         index: Index of the task in the job.
         crashes: See `losses.TaskLosses`.
+        uncertain: See `losses.TaskLosses`.
         is_relayed: Whether the receiver is not to relay it.
     """
 
     job_id: str
     index: int
     crashes: int
+    uncertain: int
     is_relayed: bool
 
 
--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -32,10 +32,11 @@
         result = orders.PollResult(run.server.incarnation, 1000, (row,), ())
         placer.runs.apply_poll(run.server, result, now, now)
 
-    def crash_each_start(self, placer, now, until, is_answered):
+    def crash_each_start(self, placer, now, until, confirm):
         """Crashes each server on which a run starts; returns starts, answers.
 
-        A start is answered or a poll lists its run, then the server restarts.
+        A start is answered, or a poll lists its run, or neither; 0.1 s after it
+        the server has restarted. Servers confirm stops.
         """
         starts, answers = [], []
         while now < until:
@@ -50,25 +51,24 @@
                 placer.runs.handle_stop_result(run, True, now)
             for run in build.starts(new_orders):
                 starts.append(run)
-                if is_answered:
-                    placer.runs.handle_start_result(
-                        run, orders.StartOutcome.STARTED, now
-                    )
-                else:
-                    self.list_run(placer, run, now)
+                match confirm:
+                    case "answer":
+                        placer.runs.handle_start_result(
+                            run, orders.StartOutcome.STARTED, now
+                        )
+                    case "poll":
+                        self.list_run(placer, run, now)
                 self.restart(placer, run.server, now)
         return starts, answers
 
     def test_a_task_that_crashes_its_servers_is_given_up(self):
-        for is_answered in (True, False):
+        for confirm in ("answer", "poll", "none"):
             placer = build.placer(
                 *(build.server(f"i-{n}") for n in range(SERVERS))
             )
             job = build.submission(step=build.step(1), left_s=9.0)
             placer.submit(job, "dispatcher", 0.0)
-            starts, answers = self.crash_each_start(
-                placer, 0.0, 5.0, is_answered
-            )
+            starts, answers = self.crash_each_start(placer, 0.0, 5.0, confirm)
             self.assertLessEqual(len(starts), MAX_STARTS)
             verdicts = [a.verdict for a in answers]
             self.assertEqual(verdicts, [zonetables.Verdict.FAILED])
@@ -229,7 +229,7 @@
         losses = placer.tables.losses
         self.assertFalse(losses.is_suspect(run.key.job_id, run.key.index))
 
-    def test_a_start_without_effect_is_not_lost_with_its_server(self):
+    def test_a_crash_before_the_answer_to_a_start_proves_nothing_alone(self):
         for crash in (self.crash, self.restart):
             for is_doubtful in (False, True):
                 placer = build.placer(build.server("i-1"), build.server("i-2"))
@@ -241,7 +241,11 @@
                     unknown = orders.StartOutcome.UNKNOWN
                     placer.runs.handle_start_result(run, unknown, 0.25)
                 crash(placer, run.server, 0.3)
-                self.assertEqual(len(placer.tables.losses), 0)
+                key = (run.key.job_id, run.key.index)
+                losses = placer.tables.losses
+                self.assertEqual(losses.get(*key), losses_lib.TaskLosses(0, 1))
+                self.assertFalse(losses.is_suspect(*key))
+                self.assertFalse(losses.is_given_up(run.key.job_id))
 
     def test_a_run_that_was_told_to_stop_is_not_lost_with_its_server(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
@@ -287,7 +291,8 @@
         (run,) = build.starts(placer.take_orders())
         self.restart(placer, run.server, 0.1)
         self.restart(placer, run.server, 0.2)
-        self.assertEqual(len(placer.tables.losses), 0)
+        losses = placer.tables.losses.get(run.key.job_id, run.key.index)
+        self.assertEqual(losses, losses_lib.TaskLosses(0, 1))
         self.assertIn(run.id, run.server.runs)
 
     def test_the_exit_of_a_draining_server_is_no_crash(self):
@@ -320,7 +325,7 @@
     def test_losses_expire_and_the_oldest_make_room(self):
         table = losses_lib.LossTable()
         for number in range(losses_lib.MAX_JOBS + 5):
-            table.add(f"job-{number}", 0, number * 0.001)
+            table.add(f"job-{number}", 0, True, number * 0.001)
         self.assertEqual(len(table), losses_lib.MAX_JOBS)
         self.assertFalse(table.is_suspect("job-4", 0))
         self.assertTrue(table.is_suspect("job-5", 0))
@@ -331,8 +336,8 @@
     def test_merging_the_same_news_twice_counts_once(self):
         table = losses_lib.LossTable()
         for _ in range(2):
-            table.merge("job", 3, losses_lib.TaskLosses(1), 0.0)
-        self.assertEqual(table.get("job", 3), losses_lib.TaskLosses(1))
+            table.merge("job", 3, losses_lib.TaskLosses(1, 1), 0.0)
+        self.assertEqual(table.get("job", 3), losses_lib.TaskLosses(1, 1))
         self.assertFalse(table.is_given_up("job"))
 
 
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -331,20 +331,24 @@
     def _count_loss(self, run: zonetables.Run, now: float) -> None:
         """Counts the crash of the server of a run, at most once a run.
 
-        A start without a response may have had no effect, and a run that was
-        told to stop or whose lease may have ended was perhaps gone before.
+        A run that was told to stop or whose lease may have ended was perhaps
+        gone before.
         """
+        is_certain = run.confirmed_at is not None
+        renewed_at = run.renewed_at if is_certain else run.sent_at
         if (
             run.is_loss_counted
-            or run.confirmed_at is None
-            or run.stop_sent_at is not None
-            or now - run.renewed_at > self.lease_times.min_lease_s
+            or not run.may_have_started
+            or (is_certain and run.stop_sent_at is not None)
+            or now - renewed_at > self.lease_times.min_lease_s
         ):
             return
         run.is_loss_counted = True
         server = run.server
-        server.lost_tasks.append(run.key)
-        counted = self.tables.losses.add(run.key.job_id, run.key.index, now)
+        server.lost_tasks.append((run.key, is_certain))
+        counted = self.tables.losses.add(
+            run.key.job_id, run.key.index, is_certain, now
+        )
         self._apply_losses(run.key, server, counted, now)
 
     def _retract_losses(self, server: zonetables.Server, now: float) -> None:
@@ -355,8 +359,8 @@
         """
         if not server.lost_tasks and not server.has_crashed:
             return
-        for key in server.lost_tasks:
-            self.tables.losses.retract(key.job_id, key.index, now)
+        for key, is_certain in server.lost_tasks:
+            self.tables.losses.retract(key.job_id, key.index, is_certain, now)
         server.lost_tasks.clear()
         server.has_crashed = False
         for run in server.runs.values():
@@ -375,6 +379,7 @@
             task=key,
             server=server.id,
             crashes=counted.crashes,
+            uncertain=counted.uncertain,
             given_up=int(counted.is_given_up),
         )
         self.emit(orders_lib.ShareLosses(key, counted))
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -214,7 +214,7 @@
         has_crashed: Whether it is known to have crashed since its last
             response.
         lost_tasks: Tasks for which its crash was counted since its last
-            response.
+            response, and whether they certainly ran.
         version: Increases when its capacity or a run changes.
         slot_cache: Slots computed for one version; see `schedule`.
     """
@@ -249,7 +249,7 @@
     unclaimed_runs: int = 0
     isolated_runs: int = 0
     has_crashed: bool = False
-    lost_tasks: list[TaskKey] = attrs.field(factory=list)
+    lost_tasks: list[tuple[TaskKey, bool]] = attrs.field(factory=list)
     version: int = 0
     slot_cache: object = None
 
