--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -20,10 +20,12 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 HOST = "desk.example"
+ZONES = ("north", "middle", "south")
 
 # Limits of the small deployments (bounds of the settings file), in s.
 MAX_LEASE_S = 1.0  # maxHoldMs
@@ -33,6 +35,8 @@
 RETRANSMIT_S = 1.3  # retransmitMs
 BEAT_S = 1.5  # heartbeatMs
 
+MAX_CASE_S = 110  # a case may take 120 s
+
 _reserved_ports = set()
 
 
@@ -555,7 +559,7 @@
         self.dispatchers.append(Dispatcher(self, name, zone))
         return self.dispatchers[-1]
 
-    def add_worker(self, name, zone, service="desk"):
+    def add_worker(self, name, zone, service):
         """Adds a backend server, which is started by `start`."""
         worker = Worker(name, zone, service, self.store, self.record)
         self.workers.append(worker)
@@ -597,6 +601,15 @@
         self.store.put("keyed.op", "config", _json(document))
         self.record.add(f"version {self._version} is confirmed: {services}")
 
+    def add_zones(self, names, services) -> None:
+        """Adds two dispatchers a zone, and two servers of each service."""
+        for zone in names:
+            for number in (1, 2):
+                self.add_dispatcher(f"{zone}-{number}", zone)
+                for service in services:
+                    name = f"w-{zone}-{service}-{number}"
+                    self.add_worker(name, zone, service)
+
     async def start(self, services) -> bool:
         """Starts all parts; returns whether they became ready."""
         await serve_http(self.store.handle, self.store_address)
@@ -684,27 +697,38 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def _exit_on_signal(number, _frame):
+    raise SystemExit(number)
+
+
 def main(case, case_folder: str) -> None:
     """Runs a case and exits with its result.
 
     `case(rig)` returns 1 if the rule was broken, 0 if it held and 2 if the case
     couldn't run.
     """
+    signal.signal(signal.SIGTERM, _exit_on_signal)
     record = Record(pathlib.Path(case_folder) / "record.txt")
     record.add(f"trouble: {int(has_trouble())}")
     folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
     rig = Rig(folder, record)
     result = 2
     try:
-        result = asyncio.run(asyncio.wait_for(case(rig), 110))
+        result = asyncio.run(asyncio.wait_for(case(rig), MAX_CASE_S))
     except TimeoutError:
         record.add("the case took too long")
+    except Exception:
+        record.add(traceback.format_exc())
     finally:
         rig.close()
         if os.environ.get("KEEP_LOGS"):
+            record.add("the logs of the dispatchers are kept")
             print(f"logs are in {folder}")
         else:
             shutil.rmtree(folder, ignore_errors=True)
-        record.add({0: "held", 1: "BROKEN"}.get(result, "could not run"))
+        result_text = {0: "the rule held", 1: "the rule was broken"}
+        record.add(result_text.get(result, "the case could not run"))
         record.save()
-    sys.exit(result)
+        sys.stdout.flush()
+        # Connections that are still open need no orderly end.
+        os._exit(result)
