--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -32,23 +33,30 @@
 STOP_S = 0.05  # stopTimeoutMs
 CANCEL_S = 3.0  # cancel_ms
 CONFIG_S = 2.0  # configApplyMs
+ACK_S = 4.0  # ackTimeoutMs
 RETRANSMIT_S = 1.3  # retransmitMs
 BEAT_S = 1.5  # heartbeatMs
 
 MAX_CASE_S = 110  # a case may take 120 s
 
+# Below the range from which the system takes the ports of clients.
+_PORTS = (15000, 32000)
 _reserved_ports = set()
 
 
 def free_port(address: str = "127.0.0.1") -> int:
     """Returns a free port that was not returned before."""
     while True:
+        port = random.randrange(*_PORTS)
+        if port in _reserved_ports:
+            continue
         with socket.socket() as sock:
-            sock.bind((address, 0))
-            port = sock.getsockname()[1]
-        if port not in _reserved_ports:
-            _reserved_ports.add(port)
-            return port
+            try:
+                sock.bind((address, port))
+            except OSError:
+                continue
+        _reserved_ports.add(port)
+        return port
 
 
 class Record:
@@ -714,7 +722,10 @@
     rig = Rig(folder, record)
     result = 2
     try:
-        result = asyncio.run(asyncio.wait_for(case(rig), MAX_CASE_S))
+        loop = asyncio.new_event_loop()
+        result = loop.run_until_complete(
+            asyncio.wait_for(case(rig), MAX_CASE_S)
+        )
     except TimeoutError:
         record.add("the case took too long")
     except Exception:
