--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -646,9 +646,10 @@
     ):
         """Sends a job and returns the status and state of its answer.
 
-        `via` is the address of a proxy in front of the dispatcher; all other
-        keywords are fields of the step.
+        `via` is the address of a proxy in front of the dispatcher, `wait_s`
+        how long the client waits; all other keywords are fields of the step.
         """
+        wait_s = fields.pop("wait_s", deadline_ms / 1000 + 0.5)
         address = fields.pop("via", dispatcher.front)
         spec = f"work_ms={work_ms}"
         step = {"count": count, "cpu": 6800, "memMb": 64}
@@ -663,7 +664,7 @@
             f"/{queue}/{job_id}",
             headers,
             _json(job),
-            deadline_ms / 1000 + 0.5,
+            wait_s,
         )
         text = body.decode()
         self.record.add(f"client gets {status} {text} for POST {job_id}")
