Review: a loopback address of its own for each case

All five side by side, once with and once without the disruption: broken and held. Before, one of five met a port that another case had taken.

--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -44,7 +44,11 @@
 _reserved_ports = set()
 
 
-def free_port(address: str = "127.0.0.1") -> int:
+# Each case has a loopback address of its own, so cases can run side by side.
+ADDRESS = "127.{}.{}.{}".format(*(random.randrange(1, 255) for _ in range(3)))
+
+
+def free_port() -> int:
     """Returns a free port that was not returned before."""
     while True:
         port = random.randrange(*_PORTS)
@@ -52,7 +56,7 @@
             continue
         with socket.socket() as sock:
             try:
-                sock.bind((address, port))
+                sock.bind((ADDRESS, port))
             except OSError:
                 continue
         _reserved_ports.add(port)
@@ -262,7 +266,7 @@
         self.name = name
         self.zone = zone
         self.service = service
-        self.address = ("127.0.0.1", free_port())
+        self.address = (ADDRESS, free_port())
         self.cpu = cpu
         self.history = []
         self._store = store
@@ -430,7 +434,7 @@
     """
 
     def __init__(self, target):
-        self.address = ("127.0.0.1", free_port())
+        self.address = (ADDRESS, free_port())
         self.target = target
         self.resets = 0
 
@@ -481,10 +485,10 @@
         self.rig = rig
         self.name = name
         self.zone = zone
-        self.front = ("127.0.0.1", free_port())
-        self.ready = ("127.0.0.1", free_port())
-        self.control = ("127.0.0.1", free_port())
-        self.metrics = ("127.0.0.1", free_port())
+        self.front = (ADDRESS, free_port())
+        self.ready = (ADDRESS, free_port())
+        self.control = (ADDRESS, free_port())
+        self.metrics = (ADDRESS, free_port())
         self.process = None
 
     def start(self):
@@ -557,7 +561,7 @@
         self.folder = folder
         self.record = record
         self.store = Store()
-        self.store_address = ("127.0.0.1", free_port())
+        self.store_address = (ADDRESS, free_port())
         self.dispatchers = []
         self.workers = []
         self._version = 4
