--- a/acacialine/tests/test_soak.py
+++ b/acacialine/tests/test_soak.py
@@ -14,6 +14,10 @@
     return soakplan.new_plan(seed, seconds, ENTRIES, SERVERS, 2.0)
 
 
+def outage_plan(seed):
+    return soakplan.new_outage_plan(seed, 60.0, ENTRIES, SERVERS, 2.0)
+
+
 class SoakPlanTest(unittest.TestCase):
     def test_a_seed_always_gives_the_same_plan(self):
         self.assertEqual(plan(1), plan(1))
@@ -25,7 +29,15 @@
 
     def test_plans_contain_every_kind_of_fault(self):
         kinds = {f.kind for seed in range(20) for f in plan(seed).faults}
-        self.assertEqual(kinds, set(soakplan.FaultKind))
+        self.assertEqual(
+            kinds, set(soakplan.FaultKind) - set(soakplan.OUTAGE_KINDS)
+        )
+
+    def test_outage_plans_strike_every_entry_and_server(self):
+        faults = [f for seed in range(20) for f in outage_plan(seed).faults]
+        self.assertEqual({f.kind for f in faults}, set(soakplan.FaultKind))
+        targets = {f.target for f in faults}
+        self.assertLessEqual({*ENTRIES, *SERVERS, "a", "b"}, targets)
 
 
 class SoakTest(unittest.TestCase):
--- a/acacialine/tools/commands.py
+++ b/acacialine/tools/commands.py
@@ -259,8 +259,14 @@
     type=click.IntRange(4, 300),
     help="Number of dispatchers, in two zones.",
 )
+@click.option(
+    "--outages",
+    metavar="N,N,...",
+    help="Number of dispatchers in each zone. None is spared, zones are cut off"
+    " and lost, and faults last longer than clients wait.",
+)
 @click.option("--mutant", default="", help="Rule to break, see SOAK.md.")
-def soak(seed, seeds, minutes, seconds, processes, mutant) -> None:
+def soak(seed, seeds, minutes, seconds, processes, outages, mutant) -> None:
     """Runs real dispatchers under random faults; exits 1 on a finding."""
     import random
     import sys
@@ -268,7 +274,11 @@
 
     from acacialine.tools import soak as soak_lib
 
-    size = soak_lib.new_size(processes, mutant)
+    if outages:
+        counts = tuple(int(count) for count in outages.split(","))
+        size = soak_lib.new_outage_size(counts, mutant)
+    else:
+        size = soak_lib.new_size(processes, mutant)
     end_at = time.monotonic() + (minutes or 0) * 60
     runs = failed_runs = 0
     while True:
--- a/acacialine/tools/faultproxy.py
+++ b/acacialine/tools/faultproxy.py
@@ -52,6 +52,10 @@
             held back until they are released, as in a network partition.
         delay_by_dialler: For peer links: returns the delay in seconds for
             the name of the dialler, or None to partition it.
+        held_diallers: For peer links with `delay_by_dialler`: advertised ports
+            of the diallers whose bytes are held back in both directions.
+        holds_open_only: Whether only connections that were open at the last
+            `hold` are held, so that new ones pass.
         open_connections: Client sides of the open connections.
         is_listening: Whether connections are accepted; else they are refused,
             as by a machine on which no process listens.
@@ -68,6 +72,9 @@
         None
     )
     held: frozenset[bool] = frozenset()
+    held_diallers: frozenset[int] = frozenset()
+    holds_open_only: bool = False
+    hold_count: int = 0
     open_connections: set[trio.SocketStream] = attrs.field(factory=set)
     is_listening: bool = True
     _held_changed: trio.Event = attrs.field(factory=trio.Event)
@@ -86,15 +93,36 @@
         while self.is_listening != is_listening:
             await self._listening_changed.wait()
 
-    def hold(self, *directions: bool) -> None:
+    def hold(self, *directions: bool, open_only: bool = False) -> None:
         """Holds bytes back in these directions and releases the others."""
         self.held = frozenset(directions)
+        self.holds_open_only = open_only
+        self.hold_count += 1
+        self._notify_held_changed()
+
+    def hold_diallers(self, ports: frozenset[int]) -> None:
+        """Holds the bytes of these diallers back and releases the others."""
+        self.held_diallers = ports
+        self._notify_held_changed()
+
+    def _notify_held_changed(self) -> None:
         self._held_changed.set()
         self._held_changed = trio.Event()
 
-    async def wait_released(self, direction: bool) -> None:
-        """Waits until bytes may pass in a direction."""
-        while direction in self.held:
+    async def wait_released(
+        self, direction: bool, dialler_port: int, opened_at_hold: int
+    ) -> None:
+        """Waits until bytes of a connection may pass in a direction.
+
+        Args:
+            direction: Request (True) or reply (False).
+            dialler_port: Advertised port of its dialler; 0 if not known.
+            opened_at_hold: `hold_count` when the connection was opened.
+        """
+        while dialler_port in self.held_diallers or (
+            direction in self.held
+            and (not self.holds_open_only or opened_at_hold < self.hold_count)
+        ):
             await self._held_changed.wait()
 
     def next_fault(self) -> Fault:
@@ -142,9 +170,14 @@
     server: trio.SocketStream
     fault: Fault
     delay_s: float
+    dialler_port: int = 0
     request_bytes: int = 0
     reply_bytes: int = 0
     partial_reply: bytes = b""
+    _opened_at_hold: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._opened_at_hold = self.route.hold_count
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -182,7 +215,9 @@
             data = await source.receive_some(CHUNK_BYTES)
             if not data:
                 return
-            await self.route.wait_released(upstream)
+            await self.route.wait_released(
+                upstream, self.dialler_port, self._opened_at_hold
+            )
             data = await apply_fault(data)
             due = trio.current_time() + self.delay_s
             await send_channel.send((due, data))
@@ -262,12 +297,16 @@
         return
     try:
         delay_s = route.delay_s
+        dialler_port = 0
         if route.delay_by_dialler:
-            delay_s = await _delay_by_dialler(route, client, server)
+            dialler_port, delay_s = await _read_dialler(route, client, server)
         if delay_s is None:
             # Partitioned: the dialler receives nothing more.
             await trio.sleep_forever()
-        await _Connection(route, client, server, fault, delay_s).run()
+        connection = _Connection(
+            route, client, server, fault, delay_s, dialler_port
+        )
+        await connection.run()
     except _CONNECTION_ERRORS:
         pass
     finally:
@@ -277,23 +316,23 @@
                 await trio.aclose_forcefully(stream)
 
 
-async def _delay_by_dialler(
+async def _read_dialler(
     route: ProxyRoute, client: trio.SocketStream, server: trio.SocketStream
-) -> float | None:
+) -> tuple[int, float | None]:
     """Forwards the first frames of a handshake and looks up the link's delay.
 
-    Returns the delay in seconds, or None if the dialler is partitioned.
+    Returns the port of the dialler and the delay in seconds, which is None if
+    the dialler is partitioned.
     """
     nonce = await _receive_exactly(server, links.LENGTH_BYTES + 32)
     await client.send_all(nonce)
     length_prefix = await _receive_exactly(client, links.LENGTH_BYTES)
     hello = await _receive_exactly(client, int.from_bytes(length_prefix, "big"))
-    delay_s = route.delay_by_dialler(
-        (length_prefix + hello)[_HELLO_NAME_OFFSET:].decode()
-    )
+    dialler = (length_prefix + hello)[_HELLO_NAME_OFFSET:].decode()
+    delay_s = route.delay_by_dialler(dialler)
     if delay_s is not None:
         await server.send_all(length_prefix + hello)
-    return delay_s
+    return int(dialler.rsplit("-", 2)[1]), delay_s
 
 
 async def _receive_exactly(stream: trio.SocketStream, count: int) -> bytes:
--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -26,6 +26,7 @@
 RETRY_DELAY_S = 1.3  # after no answer, until a client resends the job
 MAX_ATTEMPTS = 3
 SETTLE_S = 4.0  # after the last fault, until every dispatcher serves
+OUTAGE_SETTLE_S = 12.0  # the same after outages of zones
 STOP_GRACE_S = 6.0
 TARGET_LATENCY_MS = 1000  # short enough that a crowded zone refuses jobs
 # Share of the grace period of a stop after which the platform's rules allow
@@ -36,6 +37,12 @@
 CRASHING_SHARE = 0.01  # of jobs with a task that crashes its servers
 RESIZED_CPUS = (0, 7000, 14000, 24000)  # capacities of a resized server
 CLIENT_ABORT_SHARE = 0.05  # of jobs whose client disconnects before the answer
+# Clients of a soak with outages. They leave at their deadline.
+OUTAGE_DEADLINE_MS = 1500
+PROXIED_SHARE = 0.4  # of requests whose link to the entry may be cut
+LATE_COPY_SHARE = 0.08  # of answered jobs whose request arrives once more
+LATE_COPY_MAX_S = 8.0
+OUTAGE_PAUSE_GAP_S = 0.5  # longest time between the pauses of two entries
 # What a flaky backend server does with a request, and the weights; see
 # `FakeServerEndpoint.next_request_outcome`.
 FLAKY_OUTCOMES = (
@@ -43,6 +50,13 @@
     (80, 5, 5, 5, 5),
 )
 FaultKind = soakplan.FaultKind
+# What an outage of several dispatchers does to each of them.
+_KIND_BY_OUTAGE = {
+    FaultKind.ZONE_PAUSE: FaultKind.PAUSE,
+    FaultKind.ZONE_POWER: FaultKind.KILL,
+    FaultKind.POWER: FaultKind.KILL,
+    FaultKind.ROLLING_STOP: FaultKind.STOP,
+}
 # After these a client lacks the outcome of its job and sends the job again. The
 # first three mean that no HTTP answer arrived.
 _UNKNOWN_STATUSES = (
@@ -64,6 +78,28 @@
     jobs_per_s: float = 12.0
     faults_per_s: float = 0.8
     mutant: str = ""  # name of the mutation of the dispatchers, see `mutants`
+    # Number of entries in each zone; none is spared, and zones have outages.
+    entries_by_zone: tuple[int, ...] = ()
+
+    @property
+    def has_outages(self) -> bool:
+        """Whether faults spare nothing and last longer than clients wait."""
+        return bool(self.entries_by_zone)
+
+    @property
+    def entry_counts(self) -> tuple[int, ...]:
+        """Number of entries in each zone."""
+        return self.entries_by_zone or (self.dispatchers_per_zone,) * self.zones
+
+
+def new_outage_size(entries_by_zone: tuple[int, ...], mutant: str = "") -> Size:
+    """Returns the size of a soak with zones of different sizes."""
+    return Size(
+        jobs_per_s=24.0,
+        faults_per_s=0.5,
+        mutant=mutant,
+        entries_by_zone=entries_by_zone,
+    )
 
 
 def new_size(processes: int, mutant: str = "") -> Size:
@@ -123,6 +159,7 @@
     _completed_stops: dict[str, list[FaultInterval]] = attrs.field(factory=dict)
     _drains: list[tuple[str, float]] = attrs.field(factory=list)
     _hold_count: collections.Counter = attrs.field(factory=collections.Counter)
+    _zone_cuts: collections.Counter = attrs.field(factory=collections.Counter)
 
     def __attrs_post_init__(self):
         self._random = random.Random(self.plan.seed + 1)
@@ -135,7 +172,7 @@
             for fault in self.plan.faults:
                 await trio.sleep(max(0.0, started_at + fault.at - clock.now()))
                 nursery.start_soon(self._inject, fault)
-        await trio.sleep(SETTLE_S)
+        await trio.sleep(OUTAGE_SETTLE_S if self.size.has_outages else SETTLE_S)
         await self._check_recovery()
         self._check_invariants()
 
@@ -144,8 +181,9 @@
     async def _send_jobs(self) -> None:
         dispatchers = list(self.cluster.dispatchers)
         end = clock.now() + self.plan.seconds
+        max_connections = 2000 if self.size.has_outages else 10
         async with (
-            httpcore.AsyncConnectionPool() as pool,
+            httpcore.AsyncConnectionPool(max_connections) as pool,
             trio.open_nursery() as nursery,
         ):
             while clock.now() < end:
@@ -168,18 +206,36 @@
             with trio.move_on_after(length_s * rng.random()):
                 await self.cluster.submit(dispatcher, job_id, count, length_s)
             return
+        proxied_share = PROXIED_SHARE if self.size.has_outages else 0.0
         for _ in range(MAX_ATTEMPTS):
             # The pool reuses connections, since a stopping dispatcher still
             # serves connections that are already open.
             status = await self.cluster.submit(
-                dispatcher, job_id, count, length_s, pool=pool
+                dispatcher,
+                job_id,
+                count,
+                length_s,
+                pool=pool,
+                is_proxied=rng.random() < proxied_share,
             )
+            if status == 200 and self.size.has_outages:
+                await self._send_late_copy(job_id, count, length_s)
             if status not in _UNKNOWN_STATUSES:
                 return
             if status != zonecluster.NOT_CONNECTED:
                 await trio.sleep(RETRY_DELAY_S)
             dispatcher = rng.choice(list(self.cluster.dispatchers))
 
+    async def _send_late_copy(
+        self, job_id: str, count: int, length_s: float
+    ) -> None:
+        """Sends the request of some answered jobs once more, to any entry."""
+        rng = random.Random(f"late-{job_id}")
+        if rng.random() < LATE_COPY_SHARE:
+            await trio.sleep(rng.uniform(0.5, LATE_COPY_MAX_S))
+            name = rng.choice(list(self.cluster.dispatchers))
+            await self.cluster.submit(name, job_id, count, length_s)
+
     # Faults
 
     async def _inject(self, fault: soakplan.Fault) -> None:
@@ -195,7 +251,23 @@
             case FaultKind.STORE_CUT:
                 route = self.cluster.store_routes[fault.target]
                 await self._hold_route(route, fault)
-            case FaultKind.SERVER_CUT | FaultKind.SERVER_MUTE:
+            case FaultKind.CLIENT_CUT:
+                route = self.cluster.client_routes[fault.target]
+                await self._hold_route(route, fault)
+            case (
+                FaultKind.ZONE_PAUSE
+                | FaultKind.ZONE_POWER
+                | FaultKind.POWER
+                | FaultKind.ROLLING_STOP
+            ):
+                await self._signal_dispatchers(fault)
+            case FaultKind.ZONE_CUT:
+                await self._cut_zone(fault)
+            case (
+                FaultKind.SERVER_CUT
+                | FaultKind.SERVER_MUTE
+                | FaultKind.SERVER_SPLIT
+            ):
                 route = self.cluster.server_routes[fault.target]
                 await self._hold_route(route, fault)
             case FaultKind.SERVER_RESET:
@@ -243,6 +315,52 @@
         self.cluster.start_process(name)
         self.stopping.discard(name)
 
+    async def _signal_dispatchers(self, fault: soakplan.Fault) -> None:
+        """Signals all dispatchers of a zone, or of all zones."""
+        names = [
+            name
+            for name, zone in self.cluster.dispatchers.items()
+            if fault.target in (zone, "")
+        ]
+        self._random.shuffle(names)
+        kind = _KIND_BY_OUTAGE[fault.kind]
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                single = attrs.evolve(fault, kind=kind, target=name)
+                if fault.kind == FaultKind.ROLLING_STOP:
+                    await self._inject(single)
+                    continue
+                nursery.start_soon(self._inject, single)
+                if fault.kind == FaultKind.ZONE_PAUSE:
+                    gap_s = self._random.uniform(0, OUTAGE_PAUSE_GAP_S)
+                    await trio.sleep(gap_s)
+
+    async def _cut_zone(self, fault: soakplan.Fault) -> None:
+        """Cuts a zone off from the other zones and the store."""
+        self._zone_cuts[fault.target] += 1
+        self._hold_links_of_cut_zones()
+        async with trio.open_nursery() as nursery:
+            for name, zone in self.cluster.dispatchers.items():
+                if zone == fault.target:
+                    single = attrs.evolve(
+                        fault, kind=FaultKind.STORE_CUT, target=name
+                    )
+                    nursery.start_soon(self._inject, single)
+        self._zone_cuts[fault.target] -= 1
+        self._hold_links_of_cut_zones()
+
+    def _hold_links_of_cut_zones(self) -> None:
+        zones = self.cluster.dispatchers
+        for name, route in self.cluster.peer_routes.items():
+            route.hold_diallers(
+                frozenset(
+                    self.cluster.ports[other].peer_proxy
+                    for other, zone in zones.items()
+                    if zone != zones[name]
+                    and (self._zone_cuts[zone] or self._zone_cuts[zones[name]])
+                )
+            )
+
     async def _await_exit(self, name: str, process) -> None:
         started_at = clock.now()
         with trio.move_on_after(STOP_GRACE_S):
@@ -263,7 +381,8 @@
         }.get(fault.kind, (True, False))
         self._hold_count[route.listen] += 1
         hold_number = self._hold_count[route.listen]
-        route.hold(*directions)
+        open_only = fault.kind == FaultKind.SERVER_SPLIT
+        route.hold(*directions, open_only=open_only)
         await trio.sleep(fault.duration_s)
         if self._hold_count[route.listen] == hold_number:
             route.hold()
@@ -408,6 +527,7 @@
         name = exchange.dispatcher
         if (
             exchange.status == zonecluster.CUT_OFF
+            and not exchange.is_proxied
             and self._is_cut_by_planned_stop(exchange)
         ):
             self._add_finding(
@@ -419,6 +539,8 @@
             for interval in self.fault_intervals
             if interval.kind != FaultKind.CHANGE
         )
+        if self.size.has_outages:
+            return  # these clients leave at their deadline
         if is_fault_free and exchange.status in _UNKNOWN_STATUSES[:3]:
             self._add_finding(
                 "ANSWER", f"{exchange.job_id} at {name}: {exchange.status}"
@@ -453,17 +575,19 @@
     seed: int, seconds: float, size: Size, log_dir: pathlib.Path
 ) -> SoakResult:
     """Runs one seed; leaves the dispatchers' logs in a directory."""
-    zones = [f"zone-{n}" for n in range(size.zones)]
+    counts = size.entry_counts
+    zones = [f"zone-{n}" for n in range(len(counts))]
     entries = {
         f"{zone}-entry-{n}": zone
-        for zone in zones
-        for n in range(size.dispatchers_per_zone)
+        for zone, count in zip(zones, counts, strict=True)
+        for n in range(count)
     }
     servers = [zone for zone in zones for _ in range(size.servers_per_zone)]
     server_zones = {f"i-{n}": zone for n, zone in enumerate(servers)}
-    plan = soakplan.new_plan(
-        seed, seconds, entries, server_zones, size.faults_per_s
+    new_plan = (
+        soakplan.new_outage_plan if size.has_outages else soakplan.new_plan
     )
+    plan = new_plan(seed, seconds, entries, server_zones, size.faults_per_s)
     async with trio.open_nursery() as nursery:
         cluster = zonecluster.Cluster(
             nursery,
@@ -472,6 +596,10 @@
             grace_s=STOP_GRACE_S,
             target_latency_ms=TARGET_LATENCY_MS,
         )
+        if size.has_outages:
+            cluster.deadline_ms = OUTAGE_DEADLINE_MS
+            cluster.client_extra_wait_s = 0.0
+            cluster.balances_zones = bool(seed % 2)
         soak = Soak(cluster, plan, size)
         try:
             await cluster.start(servers, entries)
--- a/acacialine/tools/soakplan.py
+++ b/acacialine/tools/soakplan.py
@@ -1,8 +1,8 @@
 """Plan of a soak: which faults are injected where, when and for how long.
 
-A seed always gives the same plan. Faults come in series and may overlap, but
-every zone keeps one entry and one backend server without faults, so that
-service is possible throughout.
+A seed always gives the same plan. Faults come in series and may overlap. In a
+plan of `new_plan` every zone keeps one entry and one backend server without
+faults, so that service is possible throughout. `new_outage_plan` spares none.
 """
 
 import enum
@@ -32,6 +32,17 @@
     SERVER_RESIZE = "server_resize"  # has another capacity for the duration
     SERVER_DRAIN = "server_drain"  # announces `draining` for the duration
     SERVER_FLAKY = "server_flaky"  # requests are lost, late or refused
+    # Drawn by `new_outage_plan` only. Target: an entry.
+    CLIENT_CUT = "client_cut"  # bytes of proxied clients are held
+    # Target: a backend server.
+    SERVER_SPLIT = "server_split"  # bytes on connections open now are held
+    # Target: a zone.
+    ZONE_CUT = "zone_cut"  # cut off from the other zones and the store
+    ZONE_PAUSE = "zone_pause"  # all its entries get SIGSTOP, one by one
+    ZONE_POWER = "zone_power"  # all its entries are killed at once
+    # Target: all entries.
+    POWER = "power"  # killed at once
+    ROLLING_STOP = "rolling_stop"  # stopped and restarted one by one
     # Target: the store; see `zonestandin.FakeStore`.
     STORE_DOWN = "store_down"
     STORE_SILENT = "store_silent"
@@ -69,6 +80,18 @@
 )
 # Drawn apart, so that the plans of earlier seeds only gain faults.
 LATER_SERVER_KINDS = (FaultKind.SERVER_DOWN, FaultKind.SERVER_RESIZE)
+OUTAGE_KINDS = (
+    FaultKind.CLIENT_CUT,
+    FaultKind.SERVER_SPLIT,
+    FaultKind.ZONE_CUT,
+    FaultKind.ZONE_PAUSE,
+    FaultKind.ZONE_POWER,
+    FaultKind.POWER,
+    FaultKind.ROLLING_STOP,
+)
+_OUTAGE_WEIGHTS = (3, 3, 4, 4, 2, 1, 1)
+OUTAGE_SHARE = 0.4  # of the series of an outage plan
+OUTAGE_MAX_S = 6.0  # longer than a client waits and resends
 LATER_FAULTS_SHARE = 0.25  # of the rate of the others
 SERIES_LENGTH = 3  # faults in a series
 SERIES_INTERVAL_S = 0.8  # between the starts of two faults of a series
@@ -132,6 +155,50 @@
     return Plan(seed, seconds, tuple(faults))
 
 
+def new_outage_plan(
+    seed: int,
+    seconds: float,
+    entries: dict[str, str],
+    servers: dict[str, str],
+    faults_per_s: float,
+) -> Plan:
+    """Draws a plan that spares nothing, with outages of whole zones.
+
+    Args:
+        seed: Determines the plan.
+        seconds: Length of the traffic.
+        entries: Zone of each entry.
+        servers: Zone of each backend server.
+        faults_per_s: Average number of series that start per second.
+    """
+    rng = random.Random(f"outage-{seed}")
+    zones = sorted(set(entries.values()))
+    faults = []
+    at = rng.expovariate(faults_per_s)
+    while at < seconds:
+        if rng.random() < OUTAGE_SHARE:
+            kind = rng.choices(OUTAGE_KINDS, _OUTAGE_WEIGHTS)[0]
+            targets = {
+                FaultKind.CLIENT_CUT: list(entries),
+                FaultKind.SERVER_SPLIT: list(servers),
+                FaultKind.POWER: [""],
+                FaultKind.ROLLING_STOP: [""],
+            }.get(kind, zones)
+            target = rng.choice(targets)
+        else:
+            kind, target = _draw_fault(rng, list(entries), list(servers))
+        for index in range(rng.choice((1, 1, 1, SERIES_LENGTH))):
+            start_at = at + index * SERIES_INTERVAL_S
+            duration_s = rng.uniform(0.2, OUTAGE_MAX_S)
+            faults.append(Fault(start_at, kind, target, duration_s))
+        at += rng.expovariate(faults_per_s)
+    faults += _draw_later_faults(
+        seed, seconds, list(servers), faults_per_s * LATER_FAULTS_SHARE
+    )
+    faults.sort(key=lambda f: f.at)
+    return Plan(seed, seconds, tuple(faults))
+
+
 def _draw_later_faults(
     seed: int, seconds: float, servers: list[str], faults_per_s: float
 ) -> list[Fault]:
--- a/acacialine/tools/zonecluster.py
+++ b/acacialine/tools/zonecluster.py
@@ -1,7 +1,7 @@
 """Runs dispatcher processes against a fake platform, on loopback.
 
 The links of dispatchers to the store, to backend servers and to each other run
-through fault proxies; clients connect to dispatchers directly.
+through fault proxies; clients connect to dispatchers directly or through one.
 """
 
 import collections
@@ -58,7 +58,7 @@
 
 @attrs.frozen
 class Ports:
-    """Ports of one dispatcher and of the proxies for its peers and store."""
+    """Ports of one dispatcher and of the proxies around it."""
 
     client: int
     ready: int
@@ -66,6 +66,7 @@
     metrics: int
     peer_proxy: int
     store_proxy: int
+    client_proxy: int
 
 
 @attrs.define
@@ -76,6 +77,8 @@
         status: 200 if the job completed, 500 if it failed, another HTTP status,
             CUT_OFF, NO_ANSWER or NOT_CONNECTED.
         version: Newest configuration when the request was sent.
+        is_proxied: Whether it was sent through the fault proxy for clients,
+            which accepts connections also while the dispatcher refuses them.
     """
 
     dispatcher: str
@@ -83,6 +86,7 @@
     prefix: str
     sent_at: float
     version: int
+    is_proxied: bool = False
     status: int = NO_ANSWER
     ended_at: float = 0.0
 
@@ -104,9 +108,12 @@
             0 for none.
         target_latency_ms: Latency that clients accept. By default it is so
             long that no job is refused because it would end late.
+        deadline_ms: Time that clients give to a request.
+        client_extra_wait_s: How much longer they wait for its answer.
         balances_zones: Whether demand is balanced between zones.
         peer_routes: Proxy in front of each dispatcher's peer port.
         store_routes: Proxy from each dispatcher to the store.
+        client_routes: Proxy from clients to each dispatcher.
         server_routes: Proxy in front of each backend server.
     """
 
@@ -129,9 +136,12 @@
     grace_s: float = 4.0
     version: int = 0
     target_latency_ms: int = 60000
+    deadline_ms: int = DEADLINE_MS
+    client_extra_wait_s: float = CLIENT_EXTRA_WAIT_S
     balances_zones: bool = False
     peer_routes: dict[str, faultproxy.ProxyRoute] = attrs.field(factory=dict)
     store_routes: dict[str, faultproxy.ProxyRoute] = attrs.field(factory=dict)
+    client_routes: dict[str, faultproxy.ProxyRoute] = attrs.field(factory=dict)
     server_routes: dict[str, faultproxy.ProxyRoute] = attrs.field(factory=dict)
     _store_port: int = attrs.field(factory=lambda: ports_lib.reserve(1)[0])
 
@@ -173,14 +183,19 @@
                     await trio.sleep(0.05)
 
     async def _add_dispatcher(self, name: str) -> None:
-        ports = Ports(*ports_lib.reserve(6))
+        ports = Ports(*ports_lib.reserve(7))
         self.ports[name] = ports
         self.peer_routes[name] = await self._start_proxy(
             ports.peer_proxy, ports.peer
         )
+        # Reading the name of the dialler allows holding its links only.
+        self.peer_routes[name].delay_by_dialler = lambda _: 0.0
         self.store_routes[name] = await self._start_proxy(
             ports.store_proxy, self._store_port
         )
+        self.client_routes[name] = await self._start_proxy(
+            ports.client_proxy, ports.client
+        )
 
     async def _start_proxy(
         self, listen: int, target: int
@@ -243,7 +258,7 @@
                 "name": f"queue-{index}",
                 "host": HOST,
                 "pathPrefix": prefix,
-                "timeoutMs": DEADLINE_MS,
+                "timeoutMs": self.deadline_ms,
                 "targetLatencyMs": self.target_latency_ms,
                 "priority": 0,
                 "service": "desk",
@@ -344,6 +359,7 @@
         length_s: float = 0.05,
         prefix: str = "/jobs/",
         pool: httpcore.AsyncConnectionPool | None = None,
+        is_proxied: bool = False,
     ) -> int:
         """Sends one job of `count` equal tasks.
 
@@ -354,11 +370,14 @@
             length_s: Duration of each task.
             prefix: Path prefix of the route.
             pool: Connections to use; without it, a new one for this request.
+            is_proxied: See `Exchange`.
 
         Returns:
             The status, as in `Exchange`.
         """
-        exchange = Exchange(name, job_id, prefix, clock.now(), self.version)
+        exchange = Exchange(
+            name, job_id, prefix, clock.now(), self.version, is_proxied
+        )
         if pool is not None:
             await self._send_request(exchange, pool, count, length_s)
         else:
@@ -386,13 +405,18 @@
         }
         spec = zonestandin.new_spec(7000, length_s)
         body = {"spec": spec, "steps": [step], "bestEffort": True}
-        port = self.ports[exchange.dispatcher].client
+        ports = self.ports[exchange.dispatcher]
+        port = ports.client_proxy if exchange.is_proxied else ports.client
+        wait_s = self.deadline_ms / 1000 + self.client_extra_wait_s
         try:
-            with trio.fail_after(DEADLINE_MS / 1000 + CLIENT_EXTRA_WAIT_S):
+            with trio.fail_after(wait_s):
                 response = await pool.request(
                     "POST",
                     f"http://127.0.0.1:{port}{exchange.prefix}{exchange.job_id}",
-                    headers={"Host": HOST, "Deadline-Ms": str(DEADLINE_MS)},
+                    headers={
+                        "Host": HOST,
+                        "Deadline-Ms": str(self.deadline_ms),
+                    },
                     content=msgspec.json.encode(body),
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
