Log a job that may run in two zones, and how long an abandoned request was held

Callers saw TWICE on real processes and kept no log. With today's lines the hypotheses of docs/incidents/2026-12-05-twice-between-real-processes.md can't be told apart: a placer that learns that another zone runs its job says nothing unless it has not started it, and E845 does not say whether its client left at once, as one whose request had waited in a socket, or late.

E838 zone_job_overlaps names the other zone and the time since the first start; E845 request_abandoned has age_ms. No decision changes.

--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -343,7 +343,11 @@
             self._cancel_at_placer(request, "caller left", now)
             self._record_if_unsettled(request)
             self._announce_spilled_job(request)
-            self._log(events.Event.REQUEST_ABANDONED, job=job_id)
+            self._log(
+                events.Event.REQUEST_ABANDONED,
+                job=job_id,
+                age_ms=round((now - request.received_at) * 1000),
+            )
             del self.requests[job_id]
 
     def _announce_spilled_job(self, request: Request) -> None:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -442,10 +442,26 @@
             return
         if job.possible_starts:
             job.not_before = max(job.not_before, until)
+            if job.runs:
+                self._log_overlap(job, zone, now)
             return
         del self.tables.jobs[job_id]
         self._send_elsewhere(job_id, tuple(job.origins), zone)
 
+    def _log_overlap(self, job: zonetables.Job, zone: str, now: float) -> None:
+        """Logs that another zone may run a job that runs here."""
+        started_at = job.first_start_at
+        self._log(
+            events.Event.ZONE_JOB_OVERLAPS,
+            job=job.id,
+            zone=zone,
+            runs=len(job.runs),
+            started_ms=-1
+            if started_at is None
+            else zonetables.milliseconds(now - started_at),
+        )
+        self.tables.counters["overlapping"] += 1
+
     def _send_elsewhere(self, job_id: str, origins: tuple, zone: str) -> None:
         """Answers a job with the name of the zone that may still run it."""
         self._log(events.Event.ZONE_JOB_ELSEWHERE, job=job_id, zone=zone)
