--- a/acacialine/tests/zonebuilders.py
+++ b/acacialine/tests/zonebuilders.py
@@ -46,12 +46,17 @@
     built = placer_lib.new_placer("zone-a", 0.3, now)
     built.runs.apply_servers(list(servers) or [server()], now)
     for polled in built.tables.servers.values():
-        observation = orders.PollResult(1, 1000, (), ())
-        built.runs.apply_poll(polled, observation, now, now)
+        poll_idle(built, polled, now)
     built.take_orders()
     return built
 
 
+def poll_idle(built: placer_lib.Placer, polled: zonetables.Server, now: float):
+    """Applies a poll of a backend server that runs nothing."""
+    result = orders.PollResult(1, 1000 + round(now * 1000), (), ())
+    built.runs.apply_poll(polled, result, now, now)
+
+
 class ServerObserver:
     """Records what a client of a backend server reports."""
 
