Submit no job whose client has left while its request waited in a socket

Cause: a request is taken for new when it is read. While a process is suspended (or its loop stands still) requests lie in its sockets; their clients leave at their deadline and send the job to another zone 1.3 s later. The resumed process submitted it and saw the end of the connection with its next read, some ms later; by then its placer had started the tasks that run in the other zone. Evidence: test_suspensions, up to 22 tasks twice in one suspension of 3.6 s on and on; E840 13 ms, E845 age_ms=13 after E881.

The end of the stream is in the socket behind the request, so it is looked for (MSG_PEEK, one call a job) before the job is submitted: E898 request_outlived. Half-closed clients of jobs lost their job with the next read before, too.

--- a/acacialine/eventlog.py
+++ b/acacialine/eventlog.py
@@ -36,6 +36,7 @@
         events.Event.REQUEST_FAILED,
         events.Event.REQUEST_REJECTED,
         events.Event.REQUEST_ABANDONED,
+        events.Event.REQUEST_OUTLIVED,
         events.Event.STORE_LOST,
         events.Event.STORE_REGAINED,
         events.Event.STORE_RECORD_IGNORED,
--- a/acacialine/events.py
+++ b/acacialine/events.py
@@ -117,3 +117,4 @@
     ZONE_PRESSED = 895
     ZONE_RELIEVED = 896
     REQUEST_MOVED = 897
+    REQUEST_OUTLIVED = 898
--- a/acacialine/httpserver.py
+++ b/acacialine/httpserver.py
@@ -92,6 +92,10 @@
         )
         self._connection.update_held_bytes()
 
+    def is_client_gone(self) -> bool:
+        """Returns whether the client has closed its side of the connection."""
+        return self._connection.is_at_end()
+
     def answer(
         self,
         status: int,
@@ -278,6 +282,15 @@
             async with self._server.turn:
                 self._handle_next(_REQUESTS_A_TURN)
 
+    def is_at_end(self) -> bool:
+        """Returns whether the client has sent all that it will send."""
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _can_handle(self) -> bool:
         return self._open is None and not self._unsent and not self._is_closed
 
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -328,6 +328,11 @@
         if self._dispatcher.is_refusing and not has_ended:
             self._reject(exchange, job_id, 503, "stopping", 1)
             return
+        if exchange.is_client_gone():
+            # While the request waited in the socket, its client may have sent
+            # the job to another entry. The connection ends with the next read.
+            self._dispatcher.log(events.Event.REQUEST_OUTLIVED, job=job_id)
+            return
         received_at = self._dispatcher.now()
 
         def notify(answer: intake.Answer) -> None:
