After a long suspension new jobs wait until broken links are found

Cause: after a suspension jobs that were open wait 0.5 s, in which the links of lost dispatchers are found broken. Jobs that are read after the resumption did not wait, though they may have lain in the same links for as long: their dispatcher has taken them back and hands them, or its client the next try, to another zone. They ran for 0.3 s, until the job without a dispatcher ended.

A job that arrives within 0.5 s after a suspension of 1 s or more starts after it. A shorter one can't have outlasted a client's 1.3 s, so nothing waits then.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -378,7 +378,7 @@
             self.log(events.Event.LOOP_PAUSED, seconds=gap_s)
             self.ownership.handle_process_pause(now)
             if self.placer_host is not None:
-                self.placer_host.resume_after_pause()
+                self.placer_host.resume_after_pause(gap_s)
         self._last_tick_at = now
         if self.placer_host is not None and self.placer_host.is_fenced:
             self.log(events.Event.ZONE_FENCED, epoch=self.ownership.epoch)
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -7,6 +7,8 @@
 `take_orders` carries out. All times are in s on the clock of `clock.now`.
 """
 
+import math
+
 import attrs
 
 from acacialine import evacuation
@@ -35,6 +37,9 @@
 # Time without starts for open jobs after this process was suspended: broken
 # links are detected and jobs of dispatchers that do not reconnect are ended.
 PAUSE_RECOVERY_S = 0.5
+# A job that lay in a link for so long while this process was suspended may have
+# been taken back by its dispatcher, and sent elsewhere by its client.
+STALE_JOB_S = 1.0
 CHECK_INTERVAL_S = 0.02  # interval of the timeout checks of all runs and jobs
 EXPIRY_INTERVAL_S = 0.5  # interval of the removal of expired records
 ESTIMATE_MIN_S = 0.005
@@ -87,6 +92,7 @@
             than `owned_since` if no list of servers was known then.
         last_start_at: Until when jobs of which a task may have started go on
             starting tasks, while the zone is evacuated; None if it is not.
+        new_jobs_wait_until: Jobs that arrive before start no task before.
     """
 
     tables: zonetables.ZoneTables
@@ -99,6 +105,7 @@
     runs: zoneruns.Runs = attrs.field(init=False)
     obeyed_since: float = attrs.field(init=False)
     last_start_at: float | None = None
+    new_jobs_wait_until: float = -1e9
     shares: fairshare.FairShares = attrs.field(init=False)
     returns: retries.Returns = attrs.field(factory=retries.Returns)
     _starter: placement.TaskStarter = attrs.field(init=False)
@@ -192,8 +199,11 @@
                 self._log_returned(job)
         if self.policy.priority_first:
             job.priority_rank = job.queue.priority
+        job.not_before = self.new_jobs_wait_until
         if other_zone is not None:
-            job.not_before = remote.ends_by_zone[other_zone]
+            job.not_before = max(
+                job.not_before, remote.ends_by_zone[other_zone]
+            )
         if submission.handovers:
             self.runs.adopt(job)
         if tables.losses.is_given_up(job.id):
@@ -616,14 +626,23 @@
             if job.hold_until:
                 job.hold_until = now + self.runs.lease_times.superseded_owner_s
 
-    def handle_process_pause(self, now: float) -> None:
+    def handle_process_pause(
+        self, now: float, pause_s: float = math.inf
+    ) -> None:
         """Marks all run lists as outdated after this process was suspended.
 
         No task starts on a server before that server is polled again, and no
         task of an open job starts before its dispatchers had PAUSE_RECOVERY_S
-        to reconnect.
+        to reconnect. After a long pause that holds for new jobs too: they may
+        have lain in links that have ended, which is seen only after them.
+
+        Args:
+            now: The current time.
+            pause_s: How long this process was suspended.
         """
         self.runs.handle_process_pause(now)
+        if pause_s >= STALE_JOB_S:
+            self.new_jobs_wait_until = now + PAUSE_RECOVERY_S
         for job in self.tables.jobs.values():
             job.not_before = max(job.not_before, now + PAUSE_RECOVERY_S)
 
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -274,13 +274,13 @@
             else:
                 meters.contention.labels(how).inc(change)
 
-    def resume_after_pause(self) -> None:
+    def resume_after_pause(self, pause_s: float) -> None:
         """Polls every backend server again before it starts any task.
 
         While the process was suspended, another placer may have taken over.
         """
         now = clock.now()
-        self.placer.handle_process_pause(now)
+        self.placer.handle_process_pause(now, pause_s)
         for poller in self._pollers.values():
             self._poll_if_due(poller, now)
 
--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -101,7 +101,7 @@
             self.server.runs_listed = False
             self.host._poll_if_due(self.poller, 1.0)
         with mock.patch.object(placerhost.clock, "now", return_value=2.0):
-            self.host.resume_after_pause()
+            self.host.resume_after_pause(1.0)
             # The response to the poll of 1.0 shows nothing.
             self.host.handle_poll_end(self.server, None)
         self.assertEqual(self.poller.client.polls, [0.0, 0.0])
--- a/acacialine/tests/test_suspensions.py
+++ b/acacialine/tests/test_suspensions.py
@@ -139,6 +139,15 @@
             placer.tick(now)
             self.assertEqual(build.starts(placer.take_orders()), [])
 
+    def test_a_job_read_after_a_short_pause_starts_at_once(self):
+        placer = build.placer()
+        (server,) = placer.tables.servers.values()
+        placer.handle_process_pause(3.6, 0.6)
+        build.poll_idle(placer, server, 3.61)
+        placer.submit(build.submission(), "dispatcher", 3.62)
+        placer.tick(3.63)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
