--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -6,6 +6,7 @@
 
 import collections
 import functools
+import math
 import pathlib
 import random
 import signal
@@ -95,7 +96,7 @@
 def new_outage_size(entries_by_zone: tuple[int, ...], mutant: str = "") -> Size:
     """Returns the size of a soak with zones of different sizes."""
     return Size(
-        jobs_per_s=24.0,
+        jobs_per_s=48.0,
         faults_per_s=0.5,
         mutant=mutant,
         entries_by_zone=entries_by_zone,
@@ -116,14 +117,18 @@
     )
 
 
-@attrs.frozen
+@attrs.define
 class FaultInterval:
-    """Time in which a fault affected a target."""
+    """Time in which a fault affects a target.
+
+    Attributes:
+        ended_at: Infinite until the fault has ended.
+    """
 
     kind: FaultKind
     target: str
     started_at: float
-    ended_at: float
+    ended_at: float = math.inf
 
 
 @attrs.define
@@ -239,7 +244,8 @@
     # Faults
 
     async def _inject(self, fault: soakplan.Fault) -> None:
-        started_at = clock.now()
+        interval = FaultInterval(fault.kind, fault.target, clock.now())
+        self.fault_intervals.append(interval)
         match fault.kind:
             case FaultKind.KILL | FaultKind.STOP | FaultKind.PAUSE:
                 await self._signal_dispatcher(fault)
@@ -289,9 +295,7 @@
                 self.cluster.store.fault = name
                 await trio.sleep(fault.duration_s)
                 self.cluster.store.fault = ""
-        self.fault_intervals.append(
-            FaultInterval(fault.kind, fault.target, started_at, clock.now())
-        )
+        interval.ended_at = clock.now()
 
     async def _signal_dispatcher(self, fault: soakplan.Fault) -> None:
         name = fault.target
