--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -96,7 +96,7 @@
 def new_outage_size(entries_by_zone: tuple[int, ...], mutant: str = "") -> Size:
     """Returns the size of a soak with zones of different sizes."""
     return Size(
-        jobs_per_s=48.0,
+        jobs_per_s=24.0,
         faults_per_s=0.5,
         mutant=mutant,
         entries_by_zone=entries_by_zone,
