Failing test: candidates that start together both claim their zone

What callers see: nothing but a longer takeover; one of two placers is fenced. Cause: a candidate that knows no server yields to one that does, and the last heartbeat of a candidate may be older than its list; so each of two that start together takes the other for uninformed.

--- a/acacialine/tests/test_learnedstate.py
+++ b/acacialine/tests/test_learnedstate.py
@@ -140,6 +140,14 @@
         uninformed.record_heartbeat("b", 9.0, 0, True, 1.3, server_count=44)
         self.assertIsNone(self.decide(uninformed, 1.3))
 
+    def test_candidates_that_start_together_do_not_both_claim(self):
+        # Each has just read the list, which the other's heartbeat lacks.
+        older, younger = (self.new_ownership(44, started=s) for s in (1.0, 9.0))
+        older.record_heartbeat("b", 9.0, 0, True, 0.6, server_count=0)
+        younger.record_heartbeat("b", 1.0, 0, True, 0.6, server_count=0)
+        self.assertIsNone(self.decide(younger, 0.8))
+        self.assertIs(self.decide(older, 0.8), ownership.Role.PLACER)
+
     def test_candidates_that_all_know_no_server_claim_by_rank(self):
         oldest = self.new_ownership(0, started=1.0)
         oldest.record_heartbeat("b", 9.0, 0, True, 1.3)
