--- a/acacialine/tests/test_soak.py
+++ b/acacialine/tests/test_soak.py
@@ -46,6 +46,11 @@
         self.assertEqual(result.findings, [])
         self.assertGreater(result.answers[200], 20)
 
+    def test_a_short_soak_with_outages_has_no_findings(self):
+        result = soak.run(303, SECONDS, soak.new_outage_size((2, 1)))
+        self.assertEqual(result.findings, [])
+        self.assertGreater(result.answers[200], 20)
+
 
 if __name__ == "__main__":
     unittest.main()
