--- a/acacialine/tests/test_job_fates.py
+++ b/acacialine/tests/test_job_fates.py
@@ -71,6 +71,8 @@
 class Exchange:
     """A request of a client, and the answer that it got."""
 
+    max_age_s = 0.0
+
     def __init__(self, method, path, content, deadline_ms):
         headers = {b"host": b"desk.example", b"deadline-ms": deadline_ms}
         body = msgspec.json.encode(content)
@@ -83,6 +85,9 @@
         if self.status is None:
             self.status, self.body = status, body
 
+    def is_client_gone(self):
+        return False
+
     def discard_body(self):
         self.request = attrs.evolve(self.request, body=b"")
 
