A request that may be late waits for the end of its connection

The path of a client to its entry was cut for 3 s; the client gave up and sent its job to another zone.

A client sends a request after the answer before it on its connection, so the time since then bounds its age. From 1.3 s on, after which a client may have sent its job elsewhere, a request is handed over 20 ms later, which is several round trips; if its connection ends meanwhile it never is. Busy connections wait for nothing.

--- a/acacialine/httpserver.py
+++ b/acacialine/httpserver.py
@@ -72,6 +72,8 @@
     """One request and the way to answer it.
 
     Attributes:
+        max_age_s: Time in s since the answer before it on its connection, or
+            since the connection was accepted: its client sent it later.
         on_disconnect: Called if the client leaves before the answer.
     """
 
@@ -82,6 +84,7 @@
         self.on_disconnect: collections.abc.Callable[[], None] | None = None
         self.keep_alive = keep_alive
         self.is_answered = False
+        self.max_age_s = 0.0
         self._connection = connection
 
     def discard_body(self) -> None:
@@ -219,7 +222,8 @@
         self._requests = 0  # handled of the data that was read last
         self._resumed: trio.Event | None = None  # while reading is paused
         self.scope = trio.CancelScope()
-        self.close_at = clock.now() + server.limits.idle_timeout_s
+        self._idle_since = clock.now()
+        self.close_at = self._idle_since + server.limits.idle_timeout_s
 
     async def read(self) -> None:
         """Reads requests until the connection is closed."""
@@ -536,6 +540,7 @@
 
     def _handle(self, exchange: Exchange) -> None:
         self._open = exchange
+        exchange.max_age_s = clock.now() - self._idle_since
         self._requests += 1
         self._account.is_protected = True
         self.close_at = float("inf")
@@ -559,7 +564,7 @@
         self._open = None
         now = clock.now()
         self._account.is_protected = False
-        self._account.since = now
+        self._account.since = self._idle_since = now
         self.close_at = now + self._server.limits.idle_timeout_s
         self._write(_encode_answer(status, body, headers, exchange.keep_alive))
         if not exchange.keep_alive:
--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -265,6 +265,7 @@
         submission: placer_lib.Submission,
         notify: collections.abc.Callable[[Answer], None],
         now: float,
+        not_before: float = 0.0,
     ) -> None:
         """Adds a request; a repeated one joins the open request of its job.
 
@@ -275,6 +276,7 @@
             submission: The job.
             notify: Called once with the answer.
             now: The time.
+            not_before: Earliest time of its handover to a placer.
         """
         request = self.requests.get(submission.job_id)
         if request is not None:
@@ -287,7 +289,9 @@
             self._repeat_answer(submission.job_id, fate, notify)
             return
         deadline_at = now + submission.left_s - DEADLINE_MARGIN_S
-        request = Request(submission, now, deadline_at, [notify])
+        request = Request(
+            submission, now, deadline_at, [notify], not_before=not_before
+        )
         self.requests[submission.job_id] = request
         # If its placer keeps the job, it goes on for this request.
         self._kept_jobs.pop(submission.job_id, None)
--- a/acacialine/platform/ingress.py
+++ b/acacialine/platform/ingress.py
@@ -33,6 +33,11 @@
 # Time between two log lines on requests that are malformed or unsupported. The
 # lines have the reserved share of the log budget.
 REJECTION_INTERVAL_S = 0.02
+# Time from the end of a client's attempt to its next one, to any entry.
+RETRY_DELAY_S = 1.3
+# A request that may have been on its way for longer waits for the end of its
+# connection, which follows it one round trip later if its client has left.
+LATE_END_WAIT_S = 0.02
 MAX_REASON_CHARS = 200  # in the log; an error may quote the whole body
 MAX_DEMAND = 2**31 - 1  # of each resource of a task
 MAX_ESTIMATE_S = 1e6
@@ -344,7 +349,10 @@
 
         exchange.discard_body()
         exchange.on_disconnect = remove_client
-        open_requests.receive(submission, notify, received_at)
+        not_before = received_at
+        if exchange.max_age_s >= RETRY_DELAY_S:
+            not_before += LATE_END_WAIT_S
+        open_requests.receive(submission, notify, received_at, not_before)
         self._dispatcher.wake()
 
     def _reject(
--- a/acacialine/tests/test_suspensions.py
+++ b/acacialine/tests/test_suspensions.py
@@ -10,7 +10,9 @@
 import trio
 
 from acacialine import clientlimits
+from acacialine import clock
 from acacialine import httpserver
+from acacialine import intake
 from acacialine import routes
 from acacialine.platform import ingress
 from acacialine.tests import support
@@ -24,6 +26,10 @@
 SENDING_S = 0.3
 LARGE_CPU = 2_000_000  # of a server that runs all jobs at once
 JOB_BODY = b'{"spec":"","steps":[{"count":1}],"bestEffort":true}'
+JOB_REQUEST = (
+    b"POST /p/00000000000000aa HTTP/1.1\r\nHost: x\r\n"
+    b"Content-Length: %d\r\n\r\n%s" % (len(JOB_BODY), JOB_BODY)
+)
 
 
 class SuspensionsTest(unittest.TestCase):
@@ -94,10 +100,13 @@
 
 
 class LateInputTest(unittest.TestCase):
-    def test_a_request_whose_client_has_left_is_not_submitted(self):
-        dispatcher = mock.Mock(is_refusing=False)
+    def serve(self, dispatcher, run_client):
+        """Runs a client of a server that passes jobs to a dispatcher."""
+        dispatcher.is_refusing = False
+        dispatcher.now = clock.now
         route = routes.Route(build.queue(), "x", "/p/", 1.5)
         dispatcher.configuration.find_route.return_value = route
+        dispatcher.configuration.version = 1
 
         async def main():
             (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -110,21 +119,56 @@
                     clientlimits.new_unlimited_budget(),
                     clientlimits.RequestLimits,
                 )
-                address = listener.socket.getsockname()
-                async with await trio.open_tcp_stream(*address) as stream:
-                    await stream.send_all(
-                        b"POST /p/00000000000000aa HTTP/1.1\r\nHost: x\r\n"
-                        b"Content-Length: %d\r\n\r\n%s"
-                        % (len(JOB_BODY), JOB_BODY)
-                    )
-                nursery.start_soon(server.serve, [listener])
-                await trio.sleep(0.1)
+                serve = functools.partial(server.serve, [listener])
+                await run_client(
+                    listener.socket.getsockname(),
+                    functools.partial(nursery.start_soon, serve),
+                )
                 nursery.cancel_scope.cancel()
 
-        support.run(main, seconds=5)
+        support.run(main, seconds=10)
         dispatcher.configuration.find_route.assert_called()
+
+    def test_a_request_whose_client_has_left_is_not_submitted(self):
+        dispatcher = mock.Mock()
+
+        async def run_client(address, start_server):
+            async with await trio.open_tcp_stream(*address) as stream:
+                await stream.send_all(JOB_REQUEST)
+            start_server()
+            await trio.sleep(0.1)
+
+        self.serve(dispatcher, run_client)
         dispatcher.intake.receive.assert_not_called()
 
+    def hands_over(self, idle_s):
+        """Returns whether a job is handed over whose client leaves at once.
+
+        Args:
+            idle_s: How long its connection was idle before the request.
+        """
+        requests = intake.Intake("a")
+        placer = intake.PlacerInfo("p", "a", 1, 4, clock.now())
+        requests.placers = {"a": placer}
+
+        async def run_client(address, start_server):
+            start_server()
+            async with await trio.open_tcp_stream(*address) as stream:
+                await trio.sleep(idle_s)
+                await stream.send_all(JOB_REQUEST)
+                await trio.sleep(0.01)
+                requests.tick(clock.now())
+            await trio.sleep(0.05)
+            requests.tick(clock.now())
+
+        self.serve(mock.Mock(intake=requests), run_client)
+        new_orders = requests.take_orders()
+        return any(isinstance(o, intake.HandOverJob) for o in new_orders)
+
+    def test_a_request_that_may_be_late_waits_for_the_end_of_its_client(self):
+        self.assertFalse(self.hands_over(idle_s=1.4))
+        self.assertTrue(self.hands_over(idle_s=0.0))
+
     def test_a_job_read_after_a_suspension_waits_for_broken_links(self):
         placer = build.placer()
         (server,) = placer.tables.servers.values()
