--- a/review/6/play.py
+++ b/review/6/play.py
@@ -19,8 +19,8 @@
 JOB_S = 5.0  # 0.76 s times the tail of the site file, 7
 ORDINARY_S = 0.05
 ORDINARY_CPU = 500
-ORDINARY_INTERVAL_S = 0.05
-MAX_SHARE = 0.5  # of the orders that are left unanswered, by `kinds`
+ORDINARY_INTERVAL_S = 0.025
+MAX_SHARE = 0.055  # of the orders left unanswered: applied_late of the site file
 # `TROUBLE=cut` and `TROUBLE=late` play one of the two alone.
 TROUBLE = os.environ.get("TROUBLE", "1")
 
