A job past its deadline is kept only once all zones have confirmed it

Cause: the entry told the placer at the 504 to keep the job, and took that back 0.2 s later if a zone had not confirmed that it knows of it. Meanwhile the placer renewed the leases. An entry that stands still after its 504 takes it back when it resumes, and the last lease ends 1.02 s after that, later than the client's return (1.3 s). The bound was a sum of times, each of which a process must meet.

A lease counts from when the jobs of all runs of the server were last attended: a client waits, or all zones know. That is bounded by the deadline that the placer knows, so nobody has to act in time, also not a placer that stands still itself. Runs of an entry whose link has broken are not attended either until it is back; other tasks may start beside them while 0.3 s of the lease are left. Crash counting no longer takes a poll that renews nothing as a renewal.

Measured: the new test fails before (TWICE) and passes.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -203,7 +203,7 @@
 
 struct CancelJob { jobId @0 :Text; reason @1 :Text; }
 
-struct KeepJob { jobId @0 :Text; }
+struct KeepJob { jobId @0 :Text; isConfirmed @1 :Bool; }
 
 struct JobKept { jobId @0 :Text; zone @1 :Text; isRelayed @2 :Bool; }
 
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -513,18 +513,19 @@
                 link = self.hub.find_open_link(peer_id)
                 if link is not None:
                     link.post(messages.CancelCall(job_id))
-            case intake_lib.KeepJob(peer_id, job_id):
+            case intake_lib.KeepJob(peer_id, job_id, is_confirmed):
                 if peer_id == self.my_id and self.placer_host is not None:
-                    self._keep_job(job_id, self)
+                    self._keep_job(job_id, self, is_confirmed)
                     return
                 link = self.hub.find_open_link(peer_id)
                 if link is not None:
-                    link.post(messages.KeepJob(job_id))
+                    link.post(messages.KeepJob(job_id, is_confirmed))
             case intake_lib.AnnounceKeptJob(peer_id, job_id, zone):
                 message = messages.JobKept(job_id, zone, False)
                 if peer_id == self.my_id and self.placer_host is not None:
                     self.job_sharing.receive_kept_job(message)
                     self.intake.confirm_kept_job(peer_id, job_id)
+                    self.wake()
                     return
                 link = self.hub.find_open_link(peer_id)
                 if link is not None:
@@ -544,9 +545,9 @@
         """
         self._receive_verdict(self.my_id, message)
 
-    def _keep_job(self, job_id: str, origin) -> None:
+    def _keep_job(self, job_id: str, origin, is_confirmed: bool) -> None:
         """Keeps a job running at the placer in this process."""
-        self.placer_host.keep_job(job_id, origin)
+        self.placer_host.keep_job(job_id, origin, is_confirmed)
         self.job_sharing.share_job(job_id)
 
     # Peers
@@ -623,6 +624,7 @@
                 self._receive_verdict(link.peer_id, message)
             case messages.KeptConfirmed(job_id):
                 self.intake.confirm_kept_job(link.peer_id, job_id)
+                self.wake()
             case messages.CancelReply(job_id, was_open):
                 self.intake.cancellations.receive_reply(
                     link.peer_id, job_id, was_open, clock.now()
@@ -684,9 +686,9 @@
             case messages.CancelJob(job_id, reason):
                 if self.placer_host is not None:
                     self.placer_host.cancel(job_id, session.outbox, reason)
-            case messages.KeepJob(job_id):
+            case messages.KeepJob(job_id, is_confirmed):
                 if self.placer_host is not None:
-                    self._keep_job(job_id, session.outbox)
+                    self._keep_job(job_id, session.outbox, is_confirmed)
             case messages.JobKept(job_id):
                 self.job_sharing.receive_kept_job(message)
                 if self.placer_host is not None and not message.is_relayed:
--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -33,8 +33,7 @@
 MAX_OTHER_ZONES = 2
 REPORT_MAX_AGE_S = 1.5  # older reports of free slots are ignored
 DEFAULT_RETRY_AFTER_S = 1.0  # if no placer predicts when slots become free
-# All placers must have confirmed a kept job by then, else it is cancelled. With
-# the longest lease this ends before a client sends its job again.
+# All placers must have confirmed a kept job by then, else it is cancelled.
 KEEP_CONFIRM_TIMEOUT_S = 0.2
 # A cancellation is lost if its placer is lost within this time.
 CANCEL_SETTLED_S = 1.0
@@ -115,8 +114,8 @@
 class KeptJob:
     """A job that runs on after its clients were answered 504.
 
-    It goes on only while the placers of all other zones know of it, because
-    its client may send it again to any zone.
+    Its client may send it again to any zone, so its placer may renew its leases
+    only once the placers of all other zones know of it.
 
     Attributes:
         placer: The placer that runs it.
@@ -173,10 +172,16 @@
 
 @attrs.frozen
 class KeepJob:
-    """Order to keep a job running at its placer past its deadline."""
+    """Order to tell a placer that the clients of its job were answered 504.
+
+    Attributes:
+        is_confirmed: Whether all zones know of the job, so that its placer may
+            keep it running past its deadline.
+    """
 
     peer_id: str
     job_id: str
+    is_confirmed: bool
 
 
 @attrs.frozen
@@ -548,7 +553,7 @@
 
         The retry may arrive in any zone and would run the job a second time
         if that zone did not know of it. The job is cancelled unless all zones
-        are known and their placers can be told.
+        are known and their placers confirm in time that they know of it.
         """
         assigned = request.placer
         if assigned is None:
@@ -558,7 +563,7 @@
             self._cancel_at_placer(request, "deadline", now)
             return
         job_id = request.submission.job_id
-        self._orders.append(KeepJob(assigned.peer_id, job_id))
+        self._orders.append(KeepJob(assigned.peer_id, job_id, False))
         others = {
             zone: placer
             for zone, placer in self.placers.items()
@@ -575,15 +580,22 @@
             now + KEEP_CONFIRM_TIMEOUT_S,
             now + placer_lib.KEPT_JOB_S,
         )
+        self._keep_if_confirmed(job_id)
 
     def confirm_kept_job(self, peer_id: str, job_id: str) -> None:
         """Records that a placer of another zone knows of a kept job."""
         kept = self._kept_jobs.get(job_id)
-        if kept is None:
+        if kept is None or not kept.unconfirmed:
             return
         kept.unconfirmed -= {
             zone for zone, p in kept.others.items() if p.peer_id == peer_id
         }
+        self._keep_if_confirmed(job_id)
+
+    def _keep_if_confirmed(self, job_id: str) -> None:
+        kept = self._kept_jobs[job_id]
+        if not kept.unconfirmed:
+            self._orders.append(KeepJob(kept.placer.peer_id, job_id, True))
 
     def _check_kept_job(self, job_id: str, now: float) -> None:
         """Cancels a kept job if the placer of another zone may not know of it.
--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -89,9 +89,11 @@
     server.clock_at = now
 
 
-def new_lease(server: zonetables.Server, length_s: float, now: float) -> Lease:
-    """Returns a lease of length_s that begins now."""
-    elapsed_s = now - server.clock_at
+def new_lease(
+    server: zonetables.Server, length_s: float, since: float
+) -> Lease:
+    """Returns a lease of length_s that counts from `since`."""
+    elapsed_s = since - server.clock_at
     ahead_s = elapsed_s + length_s
     return Lease(
         server.server_clock_ms + round(ahead_s * 1000),
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -483,12 +483,16 @@
 
 @attrs.frozen
 class KeepJob:
-    """Request to keep a job running past its deadline.
+    """Notice that the sender answered 504 and expects its client to return.
 
-    The sender answered 504 and expects that its client retries soon.
+    Attributes:
+        job_id: The job.
+        is_confirmed: Whether the placers of all other zones have confirmed that
+            they know of the job, so that it may run past its deadline.
     """
 
     job_id: str
+    is_confirmed: bool
 
 
 @attrs.frozen
--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -25,6 +25,8 @@
 MAX_STARTS = 100
 MAX_STARTS_PER_SERVER = 16
 SLOWNESS_STEP = 0.2  # servers within one step count as equally fast
+# Least time for which the lease of a start is to last.
+MIN_START_LEASE_S = 0.3
 # Time after a task could not start for which tasks are paired by what fits.
 CONTENTION_S = 0.25
 
@@ -112,6 +114,7 @@
             for j in self._tables.jobs.values()
             if j.waiting
             and now >= j.not_before
+            and j.attended_until(now) >= now
             and not (j.origins and j.origins <= suspect_origins)
             and (
                 now >= j.hold_until
@@ -268,8 +271,10 @@
             serverhealth.is_usable(server, now)
             and not zoneruns.has_unclaimed_runs(server)
             and not server.isolated_runs
-            # A start would renew the leases.
-            and not server.unconfirmed_stops
+            # A start carries a lease for all runs of its server.
+            and zoneruns.attended_until(server, now)
+            + self._runs.lease_times.length_s
+            >= now + MIN_START_LEASE_S
         )
 
     def _is_suspect(self, job: zonetables.Job, index: int) -> bool:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -359,7 +359,7 @@
         job = self.tables.jobs.get(job_id)
         if job is None:
             return
-        job.remove_origin(origin)
+        job.remove_origin(origin, now)
         if job.origins:
             return
         self._log(events.Event.ZONE_JOB_CANCELLED, job=job.id, reason=reason)
@@ -430,18 +430,31 @@
         if not job.possible_starts and not self.admission.is_servable(job):
             self._fail_job(job, "unservable", now)
 
-    def keep_job(self, job_id: str, origin, now: float) -> None:
+    def keep_job(
+        self, job_id: str, origin, is_confirmed: bool, now: float
+    ) -> None:
         """Keeps a job running past its deadline for the client's retry.
 
-        The origin has answered its clients, so it waits no more. It cancels
-        the job if a zone may not know of it; without it the job ends.
+        The origin has answered its clients, so it waits no more. It confirms
+        that all zones know of the job, or cancels it; without it the job ends.
+        Its leases are not renewed before the confirmation, however late the
+        cancellation comes.
+
+        Args:
+            job_id: The job.
+            origin: Session of the dispatcher that has answered its clients.
+            is_confirmed: Whether the placers of all other zones know of the
+                job.
+            now: The current time.
         """
         job = self.tables.jobs.get(job_id)
         if job is None:
             return
-        job.remove_origin(origin)
+        job.remove_origin(origin, now)
         job.keeper = origin
-        job.kept_until = job.orphaned_at = now + KEPT_JOB_S
+        if not is_confirmed:
+            return
+        job.kept_until = now + KEPT_JOB_S
         self._log(events.Event.ZONE_JOB_KEPT, job=job.id)
 
     def record_remote_job(self, job_id: str, zone: str, now: float) -> None:
@@ -529,13 +542,12 @@
             if is_silent:
                 self.cancel(job.id, origin, "entry lost", now)
                 continue
-            job.remove_origin(origin)
-            job.orphaned_at = now if job.keeper is None else job.kept_until
+            job.remove_origin(origin, now)
 
     def _end_orphaned_jobs(self, now: float) -> None:
         """Cancels jobs without an origin for ORPHAN_TIMEOUT_S."""
         for job in list(self.tables.jobs.values()):
-            if job.origins or now - job.orphaned_at < ORPHAN_TIMEOUT_S:
+            if job.origins or now - job.attended_until(now) < ORPHAN_TIMEOUT_S:
                 continue
             self._log(
                 events.Event.ZONE_JOB_CANCELLED, job=job.id, reason="entry lost"
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -37,8 +37,8 @@
 # Longest wait of a poll while polls are lost: the end of a run whose listing is
 # lost is seen only after it.
 LOSSY_POLL_WAIT_S = 0.06
-# Longest wait of a poll that renews no leases because of an unconfirmed stop:
-# the next one is to renew them as soon as it is confirmed.
+# Longest wait of a poll that does not renew the leases for their whole length:
+# the next one is to renew them as soon as it may.
 UNRENEWED_POLL_WAIT_S = 0.06
 QUICK_LISTINGS = 4  # listings without a response that are repeated at once
 # Longest wait after a takeover for the list of servers if the known one is old.
@@ -152,9 +152,9 @@
         """Records how jobs ended at other placers; ends those open here."""
         self.placer.apply_fates(fates, clock.now())
 
-    def keep_job(self, job_id: str, origin) -> None:
+    def keep_job(self, job_id: str, origin, is_confirmed: bool) -> None:
         """Keeps a job running past its deadline for its client's retry."""
-        self.placer.keep_job(job_id, origin, clock.now())
+        self.placer.keep_job(job_id, origin, is_confirmed, clock.now())
 
     def record_remote_job(self, job_id: str, zone: str) -> None:
         """Records that another zone keeps running a job."""
@@ -535,7 +535,7 @@
             runs = self.placer.runs
             if runs.outliers.are_polls_lossy(now):
                 wait_s = min(wait_s, LOSSY_POLL_WAIT_S)
-            if server.unconfirmed_stops:
+            if zoneruns.are_leases_limited(server, now):
                 wait_s = min(wait_s, UNRENEWED_POLL_WAIT_S)
             if not runs.may_extend_leases(now):
                 due_at = max(due_at, runs.resumed_at + zoneruns.RESUME_CHECK_S)
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -193,7 +193,12 @@
                 run, orders.StartOutcome.NOT_STARTED
             )
             return
-        lease = leases.new_lease(self.server, self.lease_s, now)
+        lease = self._new_lease(now)
+        if lease is None:
+            self.observer.handle_start_outcome(
+                run, orders.StartOutcome.NOT_STARTED
+            )
+            return
         run.not_after = max(run.not_after, lease.ends_by)
         run.may_have_started = False
         incarnation = self.server.incarnation
@@ -364,7 +369,14 @@
             return None
         if not zoneruns.needs_lease(self.server, now):
             return None
-        return leases.new_lease(self.server, self.lease_s, now)
+        return self._new_lease(now)
+
+    def _new_lease(self, now: float) -> leases.Lease | None:
+        """Returns the lease that a request carries; None if it may not."""
+        since = zoneruns.attended_until(self.server, now)
+        if since + self.lease_s <= now:
+            return None
+        return leases.new_lease(self.server, self.lease_s, since)
 
     def _new_poll_request(
         self, lease: leases.Lease | None, wait_s: float
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -154,7 +154,7 @@
         self.receive(left_s=0.5)
         self.intake.tick(0.5)
         orders = self.intake.take_orders()
-        self.assertIn(intake_lib.KeepJob("p1", JOB), orders)
+        self.assertIn(intake_lib.KeepJob("p1", JOB, False), orders)
         self.assertIn(intake_lib.AnnounceKeptJob("p2", JOB, "zone-a"), orders)
 
     def test_a_spilled_job_that_is_kept_is_announced_to_the_local_zone(self):
@@ -164,7 +164,7 @@
         self.receive_verdict("p1", "not_run", "overloaded")
         self.intake.tick(0.5)
         orders = self.intake.take_orders()
-        self.assertIn(intake_lib.KeepJob("p2", JOB), orders)
+        self.assertIn(intake_lib.KeepJob("p2", JOB, False), orders)
         self.assertIn(intake_lib.AnnounceKeptJob("p1", JOB, "zone-b"), orders)
 
     def test_a_dispatcher_that_exits_answers_all_requests(self):
@@ -221,7 +221,10 @@
 
     def test_a_confirmed_kept_job_runs_on(self):
         self.keep_job()
+        self.intake.take_orders()
         self.intake.confirm_kept_job("p2", JOB)
+        keep = intake_lib.KeepJob("p1", JOB, True)
+        self.assertEqual(self.intake.take_orders(), [keep])
         for now in (0.75, 2.0, 3.0):
             self.assertEqual(self.cancel_orders(now), [])
         self.assertFalse(self.intake.is_busy)
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -276,12 +276,14 @@
                         job_id, session, reason, at
                     ),
                 )
-            case intake_lib.KeepJob(peer_id, job_id):
+            case intake_lib.KeepJob(peer_id, job_id, is_confirmed):
                 link = self.link_to(dispatcher, peer_id)
                 session = link.session
                 self.send(
                     link,
-                    lambda owner, at: self.keep(owner, job_id, session, at),
+                    lambda owner, at: self.keep(
+                        owner, job_id, session, is_confirmed, at
+                    ),
                 )
             case intake_lib.AnnounceKeptJob(peer_id, job_id, zone):
                 link = self.link_to(dispatcher, peer_id)
@@ -293,9 +295,9 @@
     def link_to(self, dispatcher, peer_id):
         return self.links[(dispatcher, peer_id.rpartition("-")[0])]
 
-    def keep(self, owner, job_id, session, now):
-        self.kept_count += 1
-        owner.placer.keep_job(job_id, session, now)
+    def keep(self, owner, job_id, session, is_confirmed, now):
+        self.kept_count += is_confirmed
+        owner.placer.keep_job(job_id, session, is_confirmed, now)
         self.share(owner, job_id)
 
     def announce(self, link, job_id, zone, now):
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -412,6 +412,7 @@
     Attributes:
         stops_lost_until: Until when all stop orders are lost.
         unreachable_until: Until when new placers don't reach a server, by id.
+        still_until: Until when a dispatcher does nothing, by zone.
         target: The dispatcher that clients reach.
     """
 
@@ -420,6 +421,7 @@
         self.random = _NoChance()
         self.stops_lost_until = 0.0
         self.unreachable_until = {}
+        self.still_until = {}
         self.target = ZONES[0]
         self.run_until(0.2)
 
@@ -434,6 +436,18 @@
     def choose_dispatcher(self):
         return self.target
 
+    def tick_intake(self, dispatcher):
+        if self.now >= self.still_until.get(dispatcher, 0.0):
+            super().tick_intake(dispatcher)
+
+    def send(self, link, deliver):
+        if link.dispatcher == link.zone or self.now >= self.cut_until:
+            super().send(link, deliver)
+
+    def cut_zones_silently(self, seconds):
+        """Loses what the zones tell each other; their links stay open."""
+        self.cut_until = self.now + seconds
+
     def run_until(self, until):
         while self.now < until - 1e-6:
             self.tick()
@@ -522,6 +536,22 @@
         simulation.target = "zone-b"
         self.check(until=4.0)
 
+    def test_a_dispatcher_that_stands_still_after_its_504(self):
+        # Its placer renewed the lease of the kept job on its word until it took
+        # that back, by when the client had sent the job to the other zone
+        # (review/6 with a dispatcher that stands still).
+        simulation = self.simulation
+        simulation.submit("zone-a", NEIGHBOUR)
+        simulation.run_until(0.3)
+        simulation.cut_zones_silently(4.0)
+        simulation.stops_lost_until = 4.0
+        simulation.submit("zone-a", JOB, left_s=0.8)
+        simulation.run_until(1.08)
+        self.assertEqual(len(simulation.answers[JOB]), 1)
+        simulation.still_until["zone-a"] = 1.98
+        simulation.target = "zone-b"
+        self.check(until=4.0)
+
     def test_a_silent_dispatcher_and_one_lost_stop(self):
         simulation = self.simulation
         simulation.submit("zone-a", JOB)
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -110,7 +110,7 @@
 
     def test_messages_in_both_directions_arrive_in_order(self):
         async def scenario(acceptor, dialler, link):
-            jobs = [messages.KeepJob(f"{n:016x}") for n in range(500)]
+            jobs = [messages.KeepJob(f"{n:016x}", False) for n in range(500)]
             for job in jobs:
                 self.assertTrue(link.post(job))
             verdict = messages.JobVerdict("a", "completed", "x" * 3000, 0.0)
@@ -151,7 +151,7 @@
     def test_an_unexpected_error_ends_its_link_only(self):
         async def scenario(acceptor, dialler, link):
             acceptor.fail_on = messages.KeepJob
-            link.post(messages.KeepJob("a"))
+            link.post(messages.KeepJob("a", False))
             await self.wait_for(lambda: acceptor.errors)
             count = len(acceptor.requests)
             # The peer connects again and is served.
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -94,7 +94,7 @@
             runs = build.starts(self.submit(placer, left_s=0.5))
             self.confirm(placer, runs, 0.4)
             if is_kept:
-                placer.keep_job("00000000000000aa", "dispatcher", 0.52)
+                placer.keep_job("00000000000000aa", "dispatcher", True, 0.52)
             placer.tick(0.81)
             stopped = build.stops(placer.take_orders())
             self.assertEqual(stopped, [] if is_kept else runs)
@@ -103,7 +103,7 @@
         """Submits a job, and keeps it running past its deadline."""
         runs = build.starts(self.submit(placer, left_s=0.5))
         self.confirm(placer, runs, 0.4)
-        placer.keep_job(runs[0].key.job_id, "dispatcher", 0.52)
+        placer.keep_job(runs[0].key.job_id, "dispatcher", True, 0.52)
         placer.take_orders()
         return runs
 
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -101,10 +101,10 @@
             return delays[0], self.random.uniform(0.05, 0.6)
         return delays
 
-    def lease_end(self, fake, lease, sent_at, arrived_at):
+    def lease_end(self, fake, lease, since, arrived_at):
         """Returns when a lease ends at a server that a request has reached."""
         if not self.outlives_servers:
-            return sent_at + LEASE_S
+            return since + LEASE_S
         ends_at = fake.clock_origin + lease.deadline_ms / 1000
         return min(ends_at, arrived_at + LEASE_S)
 
@@ -229,13 +229,15 @@
             self.placer.runs.crashes.record(server, "refused", now)
             return
         lease = None
+        since = zoneruns.attended_until(server, now)
         if (
             server.clock_at
             and not is_listing
             and self.placer.runs.may_extend_leases(now)
             and zoneruns.needs_lease(server, now)
+            and since + LEASE_S > now
         ):
-            lease = leases.new_lease(server, LEASE_S, now)
+            lease = leases.new_lease(server, LEASE_S, since)
             server.lease_until = max(server.lease_until, lease.ends_by)
         if is_unreachable:
             simulation.at(
@@ -262,7 +264,7 @@
                 return
             until = 0.0
             if lease is not None:
-                until = simulation.lease_end(fake, lease, now, arrived_at)
+                until = simulation.lease_end(fake, lease, since, arrived_at)
             observation = fake.poll(
                 self.epoch, last_ended_seq, until, arrived_at
             )
@@ -294,7 +296,8 @@
                 run, orders.StartOutcome.UNHEALTHY, now
             )
             return
-        lease = leases.new_lease(run.server, LEASE_S, now)
+        since = zoneruns.attended_until(run.server, now)
+        lease = leases.new_lease(run.server, LEASE_S, since)
         run.not_after = lease.ends_by
         run.server.lease_until = max(run.server.lease_until, lease.ends_by)
         simulation.server_pool.job_cpu[run.key.job_id] = run.demand.cpu
@@ -306,7 +309,7 @@
         def deliver(arrived_at):
             if simulation.is_lost(run, incarnation, arrived_at):
                 return
-            until = simulation.lease_end(fake, lease, now, arrived_at)
+            until = simulation.lease_end(fake, lease, since, arrived_at)
             outcome = fake.start(run, self.epoch, until, arrived_at)
 
             def on_reply(received_at):
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -23,6 +23,7 @@
 RESUME_CHECK_S = 0.1
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
 STALL_MIN_AGE_RATIO = 2.5  # minimum age of a stalled run / its expected time
+NEVER_ATTENDED = -1e9
 # Added to a run number that a backend server refused as too old.
 OLD_NUMBER_INCREMENT = 8
 
@@ -343,6 +344,7 @@
         self.crashes.retract(server, now)
         for row in poll_result.ended:
             self._record_end(server, row, now)
+        renewed_at = attended_until(server, polled_at)
         listed_runs = {
             (row.key, row.number): row for row in poll_result.running
         }
@@ -358,7 +360,7 @@
                 run.job is not None
                 and polled_at >= self.resumed_at + RESUME_CHECK_S
             ):
-                run.renewed_at = max(run.renewed_at, polled_at)
+                run.renewed_at = max(run.renewed_at, renewed_at)
             if row.percent > run.percent or not run.progress_at:
                 run.progress_at = now
                 run.percent = row.percent
@@ -617,9 +619,7 @@
     """Returns whether the leases of a server are to be renewed.
 
     They are while any of its runs has a job or may still be adopted by one,
-    but not before the stops of all others are confirmed. A lease holds for all
-    runs of a server, so renewing it for one would let a run go on whose client
-    may already have sent its job to another zone.
+    but not before the stops of all others are confirmed.
     """
     return not server.unconfirmed_stops and any(
         run.job is not None or now - run.sent_at <= leases.ADOPTION_TIMEOUT_S
@@ -627,6 +627,32 @@
     )
 
 
+def attended_until(server: zonetables.Server, now: float) -> float:
+    """Returns from when a lease that a server gets now is to count.
+
+    A lease holds for all runs of a server, so renewing it for one lets another
+    go on whose client may be about to send its job to another zone. It counts
+    from when the jobs of all runs were last attended: nobody then has to
+    withdraw it in time, not even this process. No lease is to be given while a
+    stop is unconfirmed.
+    """
+    if server.unconfirmed_stops:
+        return NEVER_ATTENDED
+    return min(
+        (
+            run.job.attended_until(now)
+            for run in server.runs.values()
+            if run.job is not None
+        ),
+        default=now,
+    )
+
+
+def are_leases_limited(server: zonetables.Server, now: float) -> bool:
+    """Returns whether new leases of a server end before their whole length."""
+    return attended_until(server, now) < now
+
+
 def has_unclaimed_runs(server: zonetables.Server) -> bool:
     """Returns whether a server has unclaimed runs, whose demand is unknown."""
     return server.unclaimed_runs > 0
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -345,11 +345,11 @@
             of a task, by index; another is preferred.
         possible_starts: Number of orders that may have started a task. A job
             with any can no longer be refused as not run.
-        orphaned_at: When its last origin was lost; for a kept job the end of
-            that time.
+        orphaned_at: When its last origin was lost or had answered its clients.
         keeper: Session of the dispatcher that keeps it for a retry of its
             client; None if none does.
-        kept_until: Until when it may run past its deadline.
+        kept_until: Until when it may run past its deadline, as all zones know
+            of it.
         config_version: Version of the configuration that set `queue`.
         shared_at: When the other zones were last told that it runs here.
         client_zone: Zone of the dispatcher that submitted it; empty if unknown.
@@ -395,11 +395,23 @@
     priority_rank: int = 0
     seniority_s: float = 0.0
 
-    def remove_origin(self, origin) -> None:
+    def remove_origin(self, origin, now: float) -> None:
         """Removes the session of a dispatcher that waits or keeps the job."""
-        self.origins.discard(origin)
+        if origin in self.origins:
+            self.origins.remove(origin)
+            self.orphaned_at = min(now, self.deadline_at)
         if origin == self.keeper:
             self.keeper = None
+            self.kept_until = min(self.kept_until, now)
+
+    def attended_until(self, now: float) -> float:
+        """Returns until when no other zone can start the job, at most `now`.
+
+        Until then a client waits for its answer, or all zones know of it. Later
+        its client may be about to send it to a zone that does not.
+        """
+        until = self.deadline_at if self.origins else self.orphaned_at
+        return min(now, max(until, self.kept_until))
 
     def key(self, index: int) -> TaskKey:
         """Returns the key of the task with this index."""
