A new placer renews no lease beside a run whose job nobody has handed over

Cause: a placer that stands still for half a second is succeeded 0.6 s after its last heartbeat. The successor lists the run of the job that was cancelled before, takes it for one that may still be handed over, and renews its lease for 0.25 s. The lease of the first run then ends up to 1.3 s after the takeover.

Change: beside a run without a job no lease is renewed until its stop is confirmed, whether it was ordered already or not. Runs of a predecessor thus end with the leases that it gave, which count from when their jobs were attended. The set of unconfirmed stops is gone: the runs tell the same.

--- a/acacialine/doubtfulruns.py
+++ b/acacialine/doubtfulruns.py
@@ -51,8 +51,6 @@
         run.stop_sent_at = now
         run.stop_count += 1
         run.server.version += 1
-        if run.job is None and run.stop_confirmed_at is None:
-            run.server.unconfirmed_stops.add(run.id)
         self._emit(orders_lib.StopRun(run))
 
     def handle_unanswered_start(self, run: zonetables.Run, now: float) -> None:
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -552,6 +552,23 @@
         simulation.target = "zone-b"
         self.check(until=4.0)
 
+    def test_a_successor_that_lists_a_cancelled_run(self):
+        # It renewed the lease until the adoption timeout, by when the client
+        # was about to send the job to the other zone (review/6 with a placer
+        # that stands still and is succeeded).
+        simulation = self.simulation
+        simulation.succeeded_after_s = (0.1, 0.1)
+        simulation.submit("zone-a", NEIGHBOUR)
+        simulation.run_until(0.3)
+        simulation.cut_zones(5.0)
+        simulation.stops_lost_until = 4.0
+        simulation.submit("zone-a", JOB, left_s=0.8)
+        simulation.run_until(1.5)
+        self.assertEqual(len(simulation.answers[JOB]), 1)
+        simulation.lose_placer("zone-a")
+        simulation.target = "zone-b"
+        self.check(until=4.0)
+
     def test_a_silent_dispatcher_and_one_lost_stop(self):
         simulation = self.simulation
         simulation.submit("zone-a", JOB)
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -239,7 +239,6 @@
         """Records when the response to a stop order confirmed the stop."""
         if confirmed:
             self.outliers.record_response(run.server, now)
-            run.server.unconfirmed_stops.discard(run.id)
             if run.stop_confirmed_at is None:
                 run.stop_confirmed_at = now
 
@@ -618,12 +617,11 @@
 def needs_lease(server: zonetables.Server, now: float) -> bool:
     """Returns whether the leases of a server are to be renewed.
 
-    They are while any of its runs has a job or may still be adopted by one,
-    but not before the stops of all others are confirmed.
+    They are while any of its runs has a job, but not before the stops of all
+    others are confirmed.
     """
-    return not server.unconfirmed_stops and any(
-        run.job is not None or now - run.sent_at <= leases.ADOPTION_TIMEOUT_S
-        for run in server.runs.values()
+    return attended_until(server, now) > NEVER_ATTENDED and any(
+        run.job is not None for run in server.runs.values()
     )
 
 
@@ -633,19 +631,17 @@
     A lease holds for all runs of a server, so renewing it for one lets another
     go on whose client may be about to send its job to another zone. It counts
     from when the jobs of all runs were last attended: nobody then has to
-    withdraw it in time, not even this process. No lease is to be given while a
-    stop is unconfirmed.
+    withdraw it in time, not even this process. No lease is to be given beside a
+    run without a job before its stop is confirmed: it is not known when its
+    client last waited, also if a dispatcher may yet hand its job over.
     """
-    if server.unconfirmed_stops:
-        return NEVER_ATTENDED
-    return min(
-        (
-            run.job.attended_until(now)
-            for run in server.runs.values()
-            if run.job is not None
-        ),
-        default=now,
-    )
+    until = now
+    for run in server.runs.values():
+        if run.job is not None:
+            until = min(until, run.job.attended_until(now))
+        elif run.stop_confirmed_at is None:
+            return NEVER_ATTENDED
+    return until
 
 
 def are_leases_limited(server: zonetables.Server, now: float) -> bool:
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -228,9 +228,6 @@
         server_clock_ms: Its monotonic clock in its last poll response.
         clock_at: When that response arrived.
         lease_until: When the leases of all its runs have certainly expired.
-        unconfirmed_stops: Ids of the runs without a job of which no stop is
-            confirmed yet. Their leases must end, so those of the server are
-            not renewed.
         unclaimed_runs: Number of runs whose demand is unknown.
         isolated_runs: Number of runs that may not share it.
         has_crashed: Whether it is known to have crashed since its last
@@ -272,9 +269,6 @@
     server_clock_ms: int = 0
     clock_at: float = 0.0
     lease_until: float = 0.0
-    unconfirmed_stops: set[tuple[TaskKey, int]] = attrs.field(
-        factory=set, init=False
-    )
     unclaimed_runs: int = 0
     isolated_runs: int = 0
     has_crashed: bool = False
@@ -530,7 +524,6 @@
         if server.runs.pop(run.id, None) is None:
             return
         server.release(run.demand)
-        server.unconfirmed_stops.discard(run.id)
         server.unclaimed_runs -= run.is_unclaimed
         server.isolated_runs -= run.is_isolated
         server.recently_ended.pop(run.id, None)
