Other zones confirm the running jobs that they are told of

Cause: a placer tells the other zones each second which jobs run here, and does not know whether they have heard it.

Change: a notice of running jobs has a number, and the placers of the other zones confirm it (a new message, sent only in reply to a number, so releases before this one never get it). Once all have, the job counts as attended for 2 s from the notice, 2.45 s less than the time for which they know of it. A new placer of another zone ends that and is told again. The grace of 0.3 s of a job without an entry does not follow from it.

Measured: three tests, which fail without the confirmation (the attribute does not exist) and pass. Simulations with lost dispatchers and cuts, and kept jobs: pass.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -239,8 +239,11 @@
   isRelayed @3 :Bool;
   running @4 :Data;
   zone @5 :Text;
+  number @6 :UInt64;
 }
 
+struct OpenJobsConfirmed { number @0 :UInt64; }
+
 struct CancelCall { jobId @0 :Text; }
 
 struct CancelReply { jobId @0 :Text; wasOpen @1 :Bool; }
@@ -321,5 +324,6 @@
     learnedState @30 :LearnedState;
     zoneSummary @31 :ZoneSummary;
     serverList @32 :ServerList;
+    openJobsConfirmed @33 :OpenJobsConfirmed;
   }
 }
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -625,6 +625,8 @@
             case messages.KeptConfirmed(job_id):
                 self.intake.confirm_kept_job(link.peer_id, job_id)
                 self.wake()
+            case messages.OpenJobsConfirmed():
+                self.fate_sharing.receive_confirmation(link.peer_id, message)
             case messages.CancelReply(job_id, was_open):
                 self.intake.cancellations.receive_reply(
                     link.peer_id, job_id, was_open, clock.now()
@@ -701,7 +703,10 @@
             case messages.ServerList():
                 self.zone_handover.receive_list(message)
             case messages.EndedJobs():
-                self.fate_sharing.receive(message)
+                if self.fate_sharing.receive(message):
+                    session.outbox.post(
+                        messages.OpenJobsConfirmed(message.number)
+                    )
             case messages.CancelCall(job_id):
                 was_open = self.fate_sharing.receive_cancel_call(job_id)
                 session.outbox.post(messages.CancelReply(job_id, was_open))
--- a/acacialine/fatesharing.py
+++ b/acacialine/fatesharing.py
@@ -51,8 +51,13 @@
         self._post(self._links_to_other_placers(), to_zones, False)
         self._post(self._links_to_candidates(), to_candidates, True)
 
-    def share_open_jobs(self, job_ids: tuple[str, ...]) -> None:
-        """Tells the candidates and the other zones of jobs that run here."""
+    def share_open_jobs(self, job_ids: tuple[str, ...], number: int) -> None:
+        """Tells the candidates and the other zones of jobs that run here.
+
+        Args:
+            job_ids: The jobs.
+            number: Number by which the other zones confirm it.
+        """
         zone = self._dispatcher.zone
         for job_id in job_ids:
             # This dispatcher may lose the zone and own it again.
@@ -63,7 +68,7 @@
         ):
             if to_links:
                 message = jobfates.new_open_jobs_message(
-                    job_ids, zone, is_relayed
+                    job_ids, zone, is_relayed, 0 if is_relayed else number
                 )
                 _post_to_all(to_links, message)
 
@@ -83,16 +88,34 @@
         dispatcher = self._dispatcher
         if dispatcher.placer_host is None:
             return
+        zones = dispatcher.intake.zones
+        dispatcher.placer_host.placer.notices.other_zones = (
+            zones - {dispatcher.zone} if zones else None
+        )
         for zone, placer in placers.items():
             known = dispatcher.intake.placers.get(zone)
-            link = dispatcher.hub.find_open_link(placer.peer_id)
-            if (
-                zone != dispatcher.zone
-                and not intake_lib.is_same_placer(placer, known)
-                and link is not None
+            if zone == dispatcher.zone or intake_lib.is_same_placer(
+                placer, known
             ):
+                continue
+            dispatcher.placer_host.handle_new_placer()
+            link = dispatcher.hub.find_open_link(placer.peer_id)
+            if link is not None:
                 self._post([link], self.fates.shared_fates(), False)
 
+    def receive_confirmation(
+        self, peer_id: str, confirmation: messages.OpenJobsConfirmed
+    ) -> None:
+        """Records that the placer of another zone knows jobs that run here."""
+        dispatcher = self._dispatcher
+        if dispatcher.placer_host is None:
+            return
+        for zone, placer in dispatcher.intake.placers.items():
+            if placer.peer_id == peer_id:
+                dispatcher.placer_host.confirm_open_jobs(
+                    confirmation.number, zone
+                )
+
     def handle_new_link(self, link: peering.PeerLink) -> None:
         """Tells a candidate all that this placer knows, or knew.
 
@@ -107,9 +130,12 @@
         if is_informed and link.heartbeat.zone == dispatcher.zone:
             self._post([link], self.fates.all_fates(), True)
 
-    def receive(self, message: messages.EndedJobs) -> None:
+    def receive(self, message: messages.EndedJobs) -> bool:
         """Records what a placer tells; relays it to the candidates.
 
+        Returns:
+            Whether running jobs in it are to be confirmed.
+
         Raises:
             errors.PeerError: The message is malformed.
         """
@@ -124,10 +150,10 @@
         if host is None:
             for key, fate in fates.items():
                 self.fates.record_key(key, fate, now)
-            return
+            return False
         host.apply_fates(fates)
         if message.is_relayed:
-            return
+            return False
         self.outbox.relay(fates, now)
         if open_jobs:
             relayed = attrs.evolve(
@@ -136,8 +162,10 @@
                 failed=b"",
                 cancelled=b"",
                 is_relayed=True,
+                number=0,
             )
             _post_to_all(self._links_to_candidates(), relayed)
+        return message.number > 0
 
     def receive_cancel_call(self, job_id: str) -> bool:
         """Ends a job that a client cancelled; returns whether it was open."""
--- a/acacialine/jobfates.py
+++ b/acacialine/jobfates.py
@@ -240,11 +240,14 @@
 
 
 def new_open_jobs_message(
-    job_ids: collections.abc.Iterable[str], zone: str, is_relayed: bool
+    job_ids: collections.abc.Iterable[str],
+    zone: str,
+    is_relayed: bool,
+    number: int = 0,
 ) -> messages.EndedJobs:
     """Returns the message that tells a peer of jobs that run in a zone."""
     running = b"".join(encode_key(job_id) for job_id in job_ids)
-    return messages.EndedJobs(b"", b"", b"", is_relayed, running, zone)
+    return messages.EndedJobs(b"", b"", b"", is_relayed, running, zone, number)
 
 
 def decode_open_jobs(message: messages.EndedJobs) -> list[str]:
--- a/acacialine/jobnotices.py
+++ b/acacialine/jobnotices.py
@@ -19,6 +19,9 @@
 OPEN_JOB_AGE_S = 0.1
 OPEN_JOB_REPEAT_S = 1.0  # below `placer.KEPT_JOB_S`, for which they know of it
 OPEN_JOBS_INTERVAL_S = 0.1
+# For how long after a notice the other zones certainly know of its jobs, less
+# the longest lease.
+KNOWN_JOB_S = 2.0
 _FATES_BY_VERDICT = {
     zonetables.Verdict.COMPLETED: jobfates.Fate.COMPLETED,
     zonetables.Verdict.FAILED: jobfates.Fate.FAILED,
@@ -36,13 +39,34 @@
 }
 
 
+@attrs.frozen
+class OpenJobsNotice:
+    """A notice of running jobs that not all other zones have confirmed.
+
+    Attributes:
+        unconfirmed_zones: Zones whose placers have not confirmed it.
+    """
+
+    job_ids: tuple[str, ...]
+    sent_at: float
+    unconfirmed_zones: set[str]
+
+
 @attrs.define(eq=False)
 class JobNotices:
-    """The notices of one placer. Emits the orders that send them."""
+    """The notices of one placer. Emits the orders that send them.
+
+    Attributes:
+        other_zones: The other zones that have dispatchers; None if it is not
+            known which these are.
+    """
 
     _tables: zonetables.ZoneTables
     _emit: collections.abc.Callable[[orders_lib.Order], None]
+    other_zones: frozenset[str] | None = None
     _open_jobs_shared_at: float = -1e9
+    _last_number: int = 0
+    _unconfirmed: dict[int, OpenJobsNotice] = attrs.field(factory=dict)
 
     def record_fate(self, job_id: str, fate: jobfates.Fate, now: float) -> None:
         """Records how a job ended here, and tells others."""
@@ -101,4 +125,49 @@
                 job.shared_at = now
                 due.append(job.id)
         if due:
-            self._emit(orders_lib.ShareOpenJobs(tuple(due)))
+            self._send_open_jobs(tuple(due), now)
+
+    def _send_open_jobs(self, job_ids: tuple[str, ...], now: float) -> None:
+        self._last_number += 1
+        self._emit(orders_lib.ShareOpenJobs(job_ids, self._last_number))
+        self._drop_expired(now)
+        if self.other_zones is None:
+            return
+        notice = OpenJobsNotice(job_ids, now, set(self.other_zones))
+        self._unconfirmed[self._last_number] = notice
+        self._record_if_confirmed(self._last_number)
+
+    def confirm(self, number: int, zone: str) -> None:
+        """Records that the placer of another zone knows the jobs of a notice.
+
+        Args:
+            number: Number of the notice.
+            zone: The zone of that placer.
+        """
+        notice = self._unconfirmed.get(number)
+        if notice is not None:
+            notice.unconfirmed_zones.discard(zone)
+            self._record_if_confirmed(number)
+
+    def _record_if_confirmed(self, number: int) -> None:
+        notice = self._unconfirmed[number]
+        if notice.unconfirmed_zones:
+            return
+        del self._unconfirmed[number]
+        for job_id in notice.job_ids:
+            job = self._tables.jobs.get(job_id)
+            if job is not None:
+                job.known_until = notice.sent_at + KNOWN_JOB_S
+
+    def _drop_expired(self, now: float) -> None:
+        while self._unconfirmed:
+            number = next(iter(self._unconfirmed))
+            if now - self._unconfirmed[number].sent_at < KNOWN_JOB_S:
+                return
+            del self._unconfirmed[number]
+
+    def handle_new_placer(self) -> None:
+        """Tells all zones again, as one has a placer that may not know."""
+        self._unconfirmed.clear()
+        for job in self._tables.jobs.values():
+            job.known_until = job.shared_at = -1e9
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -558,6 +558,8 @@
         is_relayed: Whether the receiver is not to relay it.
         running: The same for jobs that run in a zone.
         zone: The zone that runs these; empty if there are none.
+        number: Number by which the placer of another zone confirms these; 0 if
+            it is not to.
     """
 
     completed: bytes
@@ -566,6 +568,14 @@
     is_relayed: bool
     running: bytes = b""
     zone: str = ""
+    number: int = 0
+
+
+@attrs.frozen
+class OpenJobsConfirmed:
+    """Confirmation that a placer knows the running jobs of an `EndedJobs`."""
+
+    number: int
 
 
 @attrs.frozen
@@ -779,6 +789,7 @@
     | KeptConfirmed
     | TaskLost
     | EndedJobs
+    | OpenJobsConfirmed
     | CancelCall
     | CancelReply
     | JobVerdict
--- a/acacialine/orders.py
+++ b/acacialine/orders.py
@@ -98,9 +98,14 @@
 
     If their dispatcher and this placer are lost within a short time, nobody
     else could tell them before the clients send the jobs again.
+
+    Attributes:
+        job_ids: The jobs.
+        number: Number by which the other zones confirm that they know of them.
     """
 
     job_ids: tuple[str, ...]
+    number: int
 
 
 @attrs.frozen
--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -114,7 +114,7 @@
             for j in self._tables.jobs.values()
             if j.waiting
             and now >= j.not_before
-            and j.attended_until(now) >= now
+            and now <= j.awaited_until
             and not (j.origins and j.origins <= suspect_origins)
             and (
                 now >= j.hold_until
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -109,7 +109,7 @@
     shares: fairshare.FairShares = attrs.field(init=False)
     returns: retries.Returns = attrs.field(factory=retries.Returns)
     _starter: placement.TaskStarter = attrs.field(init=False)
-    _notices: jobnotices.JobNotices = attrs.field(init=False)
+    notices: jobnotices.JobNotices = attrs.field(init=False)
     _orders: list[orders_lib.Order] = attrs.field(factory=list)
     _suspect_origins: set = attrs.field(factory=set)
     _checked_at: float = -1e9
@@ -123,7 +123,7 @@
         self._starter = placement.TaskStarter(
             self.tables, self.runs, self._emit, self.policy
         )
-        self._notices = jobnotices.JobNotices(self.tables, self._emit)
+        self.notices = jobnotices.JobNotices(self.tables, self._emit)
         self.shares = self.admission.shares
         self.obeyed_since = self.owned_since
 
@@ -170,7 +170,7 @@
             return
         if submission.joins_only:
             return  # its answer is under way to the dispatcher
-        if self._notices.repeat_answer(submission.job_id, origin):
+        if self.notices.repeat_answer(submission.job_id, origin):
             return
         other_zone = None
         remote = tables.remote_jobs.get(submission.job_id)
@@ -374,7 +374,7 @@
             Whether the job was open.
         """
         job = self.tables.jobs.get(job_id)
-        self._notices.record_fate(job_id, jobfates.Fate.CANCELLED, now)
+        self.notices.record_fate(job_id, jobfates.Fate.CANCELLED, now)
         if job is None:
             return False
         self._end_by_fate(job, jobfates.Fate.CANCELLED, now)
@@ -547,7 +547,7 @@
     def _end_orphaned_jobs(self, now: float) -> None:
         """Cancels jobs without an origin for ORPHAN_TIMEOUT_S."""
         for job in list(self.tables.jobs.values()):
-            if job.origins or now - job.attended_until(now) < ORPHAN_TIMEOUT_S:
+            if job.origins or now - job.awaited_until < ORPHAN_TIMEOUT_S:
                 continue
             self._log(
                 events.Event.ZONE_JOB_CANCELLED, job=job.id, reason="entry lost"
@@ -578,7 +578,7 @@
             self.tables.ended_jobs[job.id] = zonetables.EndedJob(
                 verdict, reason, job.next_run_number, now, job.failures
             )
-        self._notices.record_verdict(job.id, verdict, now)
+        self.notices.record_verdict(job.id, verdict, now)
         if verdict is not None and job.origins:
             self._orders.append(
                 orders_lib.AnswerJob(
@@ -698,7 +698,7 @@
             self.runs.check_runs(now)
             self._end_orphaned_jobs(now)
             self._end_overdue_jobs(now)
-        self._notices.share_open_jobs(now)
+        self.notices.share_open_jobs(now)
         if now - self._expired_at >= EXPIRY_INTERVAL_S:
             self._expired_at = now
             self._drop_expired_records(now)
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -160,6 +160,14 @@
         """Records that another zone keeps running a job."""
         self.placer.record_remote_job(job_id, zone, clock.now())
 
+    def confirm_open_jobs(self, number: int, zone: str) -> None:
+        """Records that the placer of another zone knows jobs that run here."""
+        self.placer.notices.confirm(number, zone)
+
+    def handle_new_placer(self) -> None:
+        """Handles that another zone has a new placer."""
+        self.placer.notices.handle_new_placer()
+
     def set_suspect(self, origin, is_suspect: bool) -> None:
         """Records whether a dispatcher may be lost."""
         self.placer.set_suspect(origin, is_suspect, clock.now())
@@ -407,8 +415,8 @@
             case orders_lib.ShareFate(job_id, fate):
                 outbox = self._dispatcher.fate_sharing.outbox
                 outbox.add(job_id, fate, clock.now())
-            case orders_lib.ShareOpenJobs(job_ids):
-                self._dispatcher.fate_sharing.share_open_jobs(job_ids)
+            case orders_lib.ShareOpenJobs(job_ids, number):
+                self._dispatcher.fate_sharing.share_open_jobs(job_ids, number)
             case orders_lib.ShareLosses(key, task_losses):
                 self._dispatcher.job_sharing.share_losses(key, task_losses)
             case orders_lib.LogDecision(event, fields):
--- a/acacialine/tests/test_job_fates.py
+++ b/acacialine/tests/test_job_fates.py
@@ -603,6 +603,37 @@
         network.advance(0.3)
         self.assertIn(JOB, network.dispatchers["a2"].job_sharing.remote_jobs)
 
+    def test_other_zones_confirm_a_running_job(self):
+        # Its leases may be renewed past its deadline only if they know of it.
+        network = self.network
+        network.send("a1", "POST")
+        network.advance(0.3)
+        job = network.hosts["a1"].placer.tables.jobs[JOB]
+        job.deadline_at = network.now - 0.1
+        self.assertEqual(job.attended_until(network.now), network.now)
+        network.is_cut = True
+        network.advance(3.0)
+        self.assertLess(job.known_until, network.now)
+
+    def test_a_new_placer_of_another_zone_confirms_anew(self):
+        network = self.network
+        network.send("a1", "POST")
+        network.advance(0.3)
+        notices = network.hosts["a1"].placer.notices
+        notices.handle_new_placer()
+        job = network.hosts["a1"].placer.tables.jobs[JOB]
+        self.assertLess(job.known_until, network.now)
+        network.advance(0.2)
+        self.assertGreater(job.known_until, network.now)
+
+    def test_a_zone_that_is_cut_off_confirms_nothing(self):
+        network = self.network
+        network.is_cut = True
+        network.send("a1", "POST")
+        network.advance(0.3)
+        job = network.hosts["a1"].placer.tables.jobs[JOB]
+        self.assertLess(job.known_until, network.now)
+
     def test_short_jobs_are_not_announced(self):
         network = self.network
         for number in range(1, 5):
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -75,9 +75,7 @@
         for zone in ZONES:
             for number in range(SERVERS_PER_ZONE):
                 self.server_pool.add(f"{zone}-{number}", 16000)
-        self.zones = {
-            z: Zone(zonesimulation.Owner(self, 1, 0.0, z)) for z in ZONES
-        }
+        self.zones = {z: Zone(self._new_owner(z, 1, 0.0)) for z in ZONES}
         self.former_owners = []
         self.intakes = {z: intake_lib.Intake(z) for z in ZONES}
         self.links = {(d, z): Link(d, z) for d in ZONES for z in ZONES}
@@ -86,6 +84,11 @@
         self.kept_count = 0
         self.clients = {}
 
+    def _new_owner(self, zone_name, epoch, now):
+        owner = zonesimulation.Owner(self, epoch, now, zone_name)
+        owner.placer.notices.other_zones = frozenset(ZONES) - {zone_name}
+        return owner
+
     def servers_of(self, zone):
         servers = self.server_pool.servers.values()
         return [s for s in servers if s.id.startswith(zone)]
@@ -147,14 +150,40 @@
         self._tell_candidates(zone, job_id, zone)
 
     def share_with_all_zones(self, owner, job_id):
-        """Tells the placers and candidates of all zones where a job may run."""
+        """Tells the placers and candidates of all zones where a job may run.
+
+        Returns:
+            The other zones that are told.
+        """
         self.share(owner, job_id)
-        for zone in ZONES:
-            if zone != owner.zone:
-                self.at(
-                    self.now + SHARE_DELAY_S,
-                    lambda at, z=zone: self.learn(z, job_id, owner.zone, at),
-                )
+        told = self.zones_told(owner)
+        for zone in told:
+            self.at(
+                self.now + SHARE_DELAY_S,
+                lambda at, z=zone: self.learn(z, job_id, owner.zone, at),
+            )
+        return told
+
+    def zones_told(self, owner):
+        """Returns the other zones that a message of a placer reaches."""
+        return [zone for zone in ZONES if zone != owner.zone]
+
+    def share_open_jobs(self, owner, job_ids, number):
+        told = [
+            set(self.share_with_all_zones(owner, job_id)) for job_id in job_ids
+        ]
+        for zone in set.intersection(*told):
+            self.at(
+                self.now + 2 * SHARE_DELAY_S,
+                lambda at, z=zone: self.confirm_open_jobs(owner, number, z),
+            )
+
+    def confirm_open_jobs(self, owner, number, zone):
+        """Delivers the confirmation of the placer of another zone."""
+        other = self.zones[zone].owner
+        is_up = other is not None and not other.is_closed
+        if is_up and self.now >= other.paused_until and not owner.is_closed:
+            owner.placer.notices.confirm(number, zone)
 
     def learn(self, zone, job_id, running_zone, now):
         """Delivers to a zone that another one may run a job."""
@@ -222,7 +251,7 @@
 
     def _own(self, zone_name, epoch, now):
         zone = self.zones[zone_name]
-        owner = zonesimulation.Owner(self, epoch, now, zone_name)
+        owner = self._new_owner(zone_name, epoch, now)
         owner.placer.tables.remote_jobs.update(zone.known_jobs)
         for (job_id, index), known in zone.known_losses.items():
             owner.placer.tables.losses.merge(job_id, index, known, now)
@@ -230,6 +259,9 @@
             unreachable = self.random.choice(self.servers_of(zone_name))
             owner.unreachable_until[unreachable.id] = now + 0.7
         zone.owner = owner
+        for other in self.zones.values():
+            if other.owner not in (owner, None):
+                other.owner.placer.notices.handle_new_placer()
 
     # Dispatchers
 
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -306,19 +306,14 @@
 
     # Messages between placers
 
-    def share_with_all_zones(self, owner, job_id):
-        """Tells the placers and candidates of all zones where a job may run."""
-        running_zone = owner.zone
-        self.share(owner, job_id)
-        for zone in ZONES:
-            if zone == running_zone or self.now < self.cut_until:
-                continue
-            if self.random.random() < self.faults.share_loss_rate:
-                continue
-            self.at(
-                self.now + self.random.uniform(0.0005, 0.003),
-                lambda at, z=zone: self.learn(z, job_id, running_zone, at),
-            )
+    def zones_told(self, owner):
+        if self.now < self.cut_until:
+            return []
+        return [
+            zone
+            for zone in super().zones_told(owner)
+            if self.random.random() >= self.faults.share_loss_rate
+        ]
 
     def learn(self, zone, job_id, running_zone, now):
         """Delivers to a zone that another one may run a job."""
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -52,6 +52,11 @@
     def share_fate(self, owner, job_id, fate):
         """Called when a placer tells others how a job ended."""
 
+    def share_open_jobs(self, owner, job_ids, number):
+        """Called when a placer tells all zones of jobs that run here."""
+        for job_id in job_ids:
+            self.share_with_all_zones(owner, job_id)
+
     def servers_of(self, zone):
         """Returns the fake backend servers of a zone."""
         return list(self.server_pool.servers.values())
@@ -150,7 +155,7 @@
     """One placer and its simulated connections to the backend servers.
 
     The simulation provides `answer`, `share`, `share_with_all_zones`,
-    `share_fate`, `share_losses` and `hand_over_fenced`.
+    `share_open_jobs`, `share_fate`, `share_losses` and `hand_over_fenced`.
     """
 
     def __init__(self, simulation, epoch, now, zone="zone-a"):
@@ -203,9 +208,8 @@
                     self.simulation.share_with_all_zones(self, job_id)
                 case orders.ShareFate(job_id, fate):
                     self.simulation.share_fate(self, job_id, fate)
-                case orders.ShareOpenJobs(job_ids):
-                    for job_id in job_ids:
-                        self.simulation.share_with_all_zones(self, job_id)
+                case orders.ShareOpenJobs(job_ids, number):
+                    self.simulation.share_open_jobs(self, job_ids, number)
                 case orders.ShareLosses(key, task_losses):
                     self.simulation.share_losses(self, key, task_losses)
 
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -344,6 +344,8 @@
             client; None if none does.
         kept_until: Until when it may run past its deadline, as all zones know
             of it.
+        known_until: Until when all zones certainly know of it, less the longest
+            lease.
         config_version: Version of the configuration that set `queue`.
         shared_at: When the other zones were last told that it runs here.
         client_zone: Zone of the dispatcher that submitted it; empty if unknown.
@@ -381,6 +383,7 @@
     orphaned_at: float = 0.0
     keeper: object = None
     kept_until: float = 0.0
+    known_until: float = -1e9
     config_version: int = 0
     shared_at: float = -1e9
     client_zone: str = ""
@@ -398,14 +401,19 @@
             self.keeper = None
             self.kept_until = min(self.kept_until, now)
 
+    @property
+    def awaited_until(self) -> float:
+        """Until when a client waits for it or may return to this zone."""
+        until = self.deadline_at if self.origins else self.orphaned_at
+        return max(until, self.kept_until)
+
     def attended_until(self, now: float) -> float:
         """Returns until when no other zone can start the job, at most `now`.
 
         Until then a client waits for its answer, or all zones know of it. Later
         its client may be about to send it to a zone that does not.
         """
-        until = self.deadline_at if self.origins else self.orphaned_at
-        return min(now, max(until, self.kept_until))
+        return min(now, max(self.awaited_until, self.known_until))
 
     def key(self, index: int) -> TaskKey:
         """Returns the key of the task with this index."""
