Leases count from the last message of the dispatcher that awaits a job

It takes a silent dispatcher for lost after 1 s, and dates what it reads by when it reads it, however long it stood still. The lease lasts 1.02 s from then, and the client is back after 1.3 s.

Change: the placer notes when each dispatcher certainly lived, and a lease counts from that for its jobs unless all zones have confirmed that they know of them. A message counts from the tick since which all sockets were read, so one that lay in a socket while the process stood still is not taken for fresh. Polls wait for 0.4 of the lease that is left. Jobs of a suspect dispatcher that a zone has not confirmed end at once: their lease can't be renewed, and a stop saves their neighbours. One assertion of test_placer said that none ends then; it holds for confirmed jobs, and a new test has the others.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -100,6 +100,9 @@
         evacuation_relay: The evacuated zones, and their relay to peers.
         fate_sharing: Tells other dispatchers how jobs ended, and learns it.
         summary_exchange: Exchanges summaries with other zones.
+        inputs_read_until: Time of a tick since which all sockets were read.
+            What is read now was sent after it, however long this process stood
+            still in between.
     """
 
     settings: dispatchsettings.Settings
@@ -108,6 +111,7 @@
     started: float
     is_stopping: bool = False
     is_refusing: bool = False
+    inputs_read_until: float = 0.0
     intake: intake_lib.Intake = attrs.field(init=False)
     ownership: ownership_lib.Ownership = attrs.field(init=False)
     hub: peering.Hub = attrs.field(init=False)
@@ -376,6 +380,7 @@
 
     def _tick(self, now: float) -> None:
         gap_s = now - self._last_tick_at
+        self.inputs_read_until = self._last_tick_at
         if self._last_tick_at and gap_s > PROCESS_PAUSE_S:
             self.log(events.Event.LOOP_PAUSED, seconds=gap_s)
             self.ownership.handle_process_pause(now)
@@ -658,6 +663,8 @@
         is_repeated: bool,
     ) -> None:
         """Handles a message on a link that a peer opened."""
+        if self.placer_host is not None:
+            self.placer_host.record_heard(session.outbox)
         match message:
             case messages.ZoneState():
                 session.zone = message.zone
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -263,6 +263,7 @@
             estimate_s,
             known_since=arrived_at,
             config_version=submission.config_version,
+            origins_heard_at=self.tables.origins_heard_at,
         )
         job.waiting.extend(range(submission.step.count))
         if ended_job:
@@ -502,17 +503,34 @@
             )
         )
 
+    def record_heard(self, origin, at: float) -> None:
+        """Records that a dispatcher certainly lived at some time.
+
+        Leases of its jobs count from then: its clients may have left since, and
+        may be about to send their jobs to another zone.
+
+        Args:
+            origin: The session of the dispatcher.
+            at: The time, not later than when its message was sent.
+        """
+        self.tables.origins_heard_at[origin] = at
+
     def set_suspect(self, origin, is_suspect: bool, now: float) -> None:
         """Records whether a dispatcher may be lost.
 
-        Meanwhile no task of its jobs starts, and all zones know of their runs:
-        this placer may be lost too before it has ended them.
+        Meanwhile no task of its jobs starts, and all zones are told of their
+        runs: this placer may be lost too before it has ended them. Jobs that a
+        zone has not confirmed end at once, as their leases are about to end
+        with all other runs there.
         """
         if not is_suspect:
             self._suspect_origins.discard(origin)
             return
         self._suspect_origins.add(origin)
         self._announce_jobs_of(origin, now)
+        for job in list(self.tables.jobs.values()):
+            if job.origins == {origin} and job.runs and now > job.known_until:
+                self.cancel(job.id, origin, "entry lost", now)
 
     def _announce_jobs_of(self, origin, now: float) -> None:
         for job in self.tables.jobs.values():
@@ -543,6 +561,7 @@
                 self.cancel(job.id, origin, "entry lost", now)
                 continue
             job.remove_origin(origin, now)
+        self.tables.origins_heard_at.pop(origin, None)
 
     def _end_orphaned_jobs(self, now: float) -> None:
         """Cancels jobs without an origin for ORPHAN_TIMEOUT_S."""
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -37,9 +37,9 @@
 # Longest wait of a poll while polls are lost: the end of a run whose listing is
 # lost is seen only after it.
 LOSSY_POLL_WAIT_S = 0.06
-# Longest wait of a poll that does not renew the leases for their whole length:
-# the next one is to renew them as soon as it may.
-UNRENEWED_POLL_WAIT_S = 0.06
+# Longest wait of a poll that renews no leases: the next one is to renew them as
+# soon as it may.
+MIN_POLL_WAIT_S = 0.06
 QUICK_LISTINGS = 4  # listings without a response that are repeated at once
 # Longest wait after a takeover for the list of servers if the known one is old.
 LIST_WAIT_S = 1.0
@@ -168,6 +168,14 @@
         """Handles that another zone has a new placer."""
         self.placer.notices.handle_new_placer()
 
+    def record_heard(self, origin) -> None:
+        """Records a message of a dispatcher.
+
+        It may have been sent at any time since the inputs of this process were
+        last read.
+        """
+        self.placer.record_heard(origin, self._dispatcher.inputs_read_until)
+
     def set_suspect(self, origin, is_suspect: bool) -> None:
         """Records whether a dispatcher may be lost."""
         self.placer.set_suspect(origin, is_suspect, clock.now())
@@ -371,6 +379,8 @@
             or now - self.placer.owned_since > LIST_WAIT_S
         ):
             self.placer.runs.awaits_list = False
+        # Its clients may have left unseen while this process stood still.
+        self.record_heard(self._dispatcher)
         self._deadlines.check(now)
         if self.placer.runs.outliers.are_polls_lossy(now):
             self._list_overdue_runs(now)
@@ -536,15 +546,15 @@
         wait_s = 0.0
         if server.runs_listed and server.runs:
             settings = self._dispatcher.settings.placement
+            lease_s = poller.client.lease_s
+            lease_left_s = zoneruns.attended_until(server, now) + lease_s - now
             wait_s = min(
                 settings.look_wait_ms / 1000,
-                poller.client.lease_s * leases.MAX_POLL_WAIT_SHARE,
+                max(MIN_POLL_WAIT_S, lease_left_s * leases.MAX_POLL_WAIT_SHARE),
             )
             runs = self.placer.runs
             if runs.outliers.are_polls_lossy(now):
                 wait_s = min(wait_s, LOSSY_POLL_WAIT_S)
-            if zoneruns.are_leases_limited(server, now):
-                wait_s = min(wait_s, UNRENEWED_POLL_WAIT_S)
             if not runs.may_extend_leases(now):
                 due_at = max(due_at, runs.resumed_at + zoneruns.RESUME_CHECK_S)
         elif server.runs_listed:
--- a/acacialine/tests/test_job_fates.py
+++ b/acacialine/tests/test_job_fates.py
@@ -634,6 +634,25 @@
         job = network.hosts["a1"].placer.tables.jobs[JOB]
         self.assertLess(job.known_until, network.now)
 
+    def test_a_message_is_dated_before_a_stand_still_of_its_reader(self):
+        # Else leases are renewed for a client that left meanwhile.
+        network = self.network
+        network.send("a2", "POST")
+        stood_still_at = network.now
+        network.now += 0.35
+        a1, a2 = network.dispatchers["a1"], network.dispatchers["a2"]
+        (link,) = [
+            link
+            for link in a2.hub.dialled_links.values()
+            if link.peer_id == a1.my_id
+        ]
+        link.post(messages.KeepJob(JOB, False))
+        for deliver in network.under_way:
+            deliver()
+        job = a1.placer_host.placer.tables.jobs[JOB]
+        self.assertEqual(job.origins, set())
+        self.assertLessEqual(job.attended_until(network.now), stood_still_at)
+
     def test_short_jobs_are_not_announced(self):
         network = self.network
         for number in range(1, 5):
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -23,6 +23,7 @@
 END_S = 8.0
 RETRY_DELAY_S = 1.3  # retransmitMs of the platform
 SHARE_DELAY_S = 0.002  # of a message between placers
+HEARTBEAT_INTERVAL_S = 0.4  # of a link that carries jobs
 ZONES = ("zone-a", "zone-b")
 SERVERS_PER_ZONE = 2
 EXAMPLES = int(os.environ.get("ACACIALINE_EXAMPLES", "25"))
@@ -48,6 +49,7 @@
         self.zone = zone
         self.generation = 0
         self.down_until = 0.0
+        self.heartbeat_due_at = 0.0
 
     @property
     def session(self):
@@ -103,14 +105,23 @@
             and self.now >= max(link.down_until, owner.paused_until)
         )
 
-    def send(self, link, deliver):
-        """Delivers a message unless the link breaks before."""
+    def send(self, link, deliver, is_reply=False):
+        """Delivers a message unless the link breaks before.
+
+        Args:
+            link: The link.
+            deliver: Called with the placer and the time.
+            is_reply: Whether the placer sends it.
+        """
         generation = link.generation
         owner = self.zones[link.zone].owner
+        sent_at = self.now
 
         def arrive(at):
             is_same = self.zones[link.zone].owner is owner
             if is_same and generation == link.generation and self.is_up(link):
+                if not is_reply:
+                    owner.placer.record_heard(link.session, sent_at)
                 deliver(owner, at)
 
         if self.is_up(link):
@@ -143,7 +154,7 @@
                         at,
                     )
 
-            self.send(link, deliver)
+            self.send(link, deliver, is_reply=True)
 
     def share(self, owner, job_id):
         zone = owner.placer.tables.zone
@@ -284,10 +295,19 @@
         intake = self.intakes[dispatcher]
         intake.zones = frozenset(ZONES)
         intake.update_placers(self.placers_of(dispatcher), self.now)
+        self.send_heartbeats(dispatcher)
         intake.tick(self.now)
         for order in intake.take_orders():
             self.execute(dispatcher, order)
 
+    def send_heartbeats(self, dispatcher):
+        """Sends those that are due, each on another link."""
+        for zone in ZONES:
+            link = self.links[(dispatcher, zone)]
+            if self.now >= link.heartbeat_due_at:
+                link.heartbeat_due_at = self.now + HEARTBEAT_INTERVAL_S
+                self.send(link, lambda owner, at: None)
+
     def execute(self, dispatcher, order):
         match order:
             case intake_lib.HandOverJob(placer, submission):
@@ -342,6 +362,7 @@
             lambda current, at: self.intakes[link.dispatcher].confirm_kept_job(
                 peer_id, job_id
             ),
+            is_reply=True,
         )
 
     # Clients
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -435,9 +435,9 @@
         if self.now >= self.still_until.get(dispatcher, 0.0):
             super().tick_intake(dispatcher)
 
-    def send(self, link, deliver):
+    def send(self, link, deliver, is_reply=False):
         if link.dispatcher == link.zone or self.now >= self.cut_until:
-            super().send(link, deliver)
+            super().send(link, deliver, is_reply)
 
     def cut_zones_silently(self, seconds):
         """Loses what the zones tell each other; their links stay open."""
@@ -564,6 +564,18 @@
         simulation.target = "zone-b"
         self.check(until=4.0)
 
+    def test_a_silent_dispatcher_of_a_cut_off_zone_whose_stops_are_lost(self):
+        # Its placer renewed the leases until it took the dispatcher for lost
+        # (KNOWN-RED 53).
+        simulation = self.simulation
+        simulation.cut_zones(5.0)
+        simulation.stops_lost_until = 4.0
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.6)
+        simulation.lose_dispatcher("zone-a", True, False)
+        simulation.target = "zone-b"
+        self.check()
+
     def test_a_silent_dispatcher_and_one_lost_stop(self):
         simulation = self.simulation
         simulation.submit("zone-a", JOB)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -474,6 +474,7 @@
         placer = build.placer()
         (run,) = build.starts(self.submit(placer, step=build.step(1)))
         self.confirm(placer, [run])
+        placer.tables.jobs[run.key.job_id].known_until = 2.0
         placer.set_suspect("other dispatcher", True, 0.6)
         self.assertEqual(build.announced(placer.take_orders()), [])
         placer.set_suspect("dispatcher", True, 0.6)
@@ -481,6 +482,32 @@
         self.assertEqual(build.announced(new_orders), [run.key.job_id])
         self.assertEqual(build.stops(new_orders), [])
 
+    def test_an_unknown_job_of_a_suspect_dispatcher_ends(self):
+        # The lease of its server can't be renewed, so its neighbours would end
+        # too if it was only stopped when the dispatcher counts as lost.
+        placer = build.placer()
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        placer.set_suspect("dispatcher", True, 0.6)
+        self.assertEqual(build.stops(placer.take_orders()), [run])
+
+    def test_leases_count_from_the_last_word_of_the_dispatcher(self):
+        # A dispatcher that is cut off with its clients was taken for lost 1 s
+        # later, and leases were renewed meanwhile (KNOWN-RED 53).
+        placer = build.placer(build.server(cpu=21000))
+        step = build.step(1)
+        (run,) = build.starts(self.submit(placer, step=step, left_s=9.0))
+        placer.record_heard("dispatcher", 0.2)
+        self.assertEqual(zoneruns.attended_until(run.server, 0.5), 0.2)
+        placer.submit(
+            build.submission("00000000000000bb", step=step), "other", 0.5
+        )
+        placer.record_heard("other", 0.5)
+        placer.tick(0.5)
+        self.assertEqual(zoneruns.attended_until(run.server, 0.6), 0.2)
+        placer.tables.jobs[run.key.job_id].known_until = 2.0
+        self.assertEqual(zoneruns.attended_until(run.server, 0.6), 0.5)
+
     def test_no_task_starts_for_a_suspect_dispatcher(self):
         placer = build.placer()
         placer.set_suspect("dispatcher", True, 0.0)
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -644,11 +644,6 @@
     return until
 
 
-def are_leases_limited(server: zonetables.Server, now: float) -> bool:
-    """Returns whether new leases of a server end before their whole length."""
-    return attended_until(server, now) < now
-
-
 def has_unclaimed_runs(server: zonetables.Server) -> bool:
     """Returns whether a server has unclaimed runs, whose demand is unknown."""
     return server.unclaimed_runs > 0
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -340,6 +340,8 @@
         possible_starts: Number of orders that may have started a task. A job
             with any can no longer be refused as not run.
         orphaned_at: When its last origin was lost or had answered its clients.
+        origins_heard_at: See `ZoneTables`; shared by all jobs.
+        heard_until: Until when its last origin is known to have waited for it.
         keeper: Session of the dispatcher that keeps it for a retry of its
             client; None if none does.
         kept_until: Until when it may run past its deadline, as all zones know
@@ -381,6 +383,8 @@
     possible_starts: int = 0
     first_start_at: float | None = None
     orphaned_at: float = 0.0
+    origins_heard_at: dict = attrs.field(factory=dict)
+    heard_until: float = 0.0
     keeper: object = None
     kept_until: float = 0.0
     known_until: float = -1e9
@@ -395,6 +399,7 @@
     def remove_origin(self, origin, now: float) -> None:
         """Removes the session of a dispatcher that waits or keeps the job."""
         if origin in self.origins:
+            self.heard_until = self._heard_until(now)
             self.origins.remove(origin)
             self.orphaned_at = min(now, self.deadline_at)
         if origin == self.keeper:
@@ -413,7 +418,15 @@
         Until then a client waits for its answer, or all zones know of it. Later
         its client may be about to send it to a zone that does not.
         """
-        return min(now, max(self.awaited_until, self.known_until))
+        heard_until = self._heard_until(now)
+        return min(now, max(heard_until, self.kept_until, self.known_until))
+
+    def _heard_until(self, now: float) -> float:
+        """Returns until when a dispatcher is known to have waited for it."""
+        if not self.origins:
+            return self.heard_until
+        heard_at = max(self.origins_heard_at.get(o, now) for o in self.origins)
+        return min(heard_at, self.deadline_at)
 
     def key(self, index: int) -> TaskKey:
         """Returns the key of the task with this index."""
@@ -500,6 +513,8 @@
         losses: Runs that were lost with their servers, by job and task.
         is_list_known: Whether a list of the backend servers was ever read.
         fates: How recent jobs of all zones ended.
+        origins_heard_at: Latest time at which a dispatcher certainly lived, by
+            its session. One that is missing counts as alive.
     """
 
     zone: str
@@ -516,6 +531,7 @@
     losses: losses_lib.LossTable = attrs.field(factory=losses_lib.LossTable)
     is_list_known: bool = True
     fates: jobfates.JobFates = attrs.field(factory=jobfates.JobFates)
+    origins_heard_at: dict = attrs.field(factory=dict)
 
     def add_run(self, run: Run) -> None:
         """Adds a run and occupies the capacity that it demands."""
