A dispatcher that stood still is not taken as proof that its clients wait

A client that leaves while its dispatcher stands still may be back in another zone while its placer has renewed the lease on a message that the dispatcher sent right after it resumed, before it had read that the client left.

Cause: each message on a link counted as proof that all clients of its sender wait, also a submission of another job or a heartbeat that is sent in the first moments after a stand still.

Change: only heartbeats count for all jobs of a dispatcher, and a submission for its own job.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -663,10 +663,10 @@
         is_repeated: bool,
     ) -> None:
         """Handles a message on a link that a peer opened."""
-        if self.placer_host is not None:
-            self.placer_host.record_heard(session.outbox)
         match message:
             case messages.ZoneState():
+                if self.placer_host is not None:
+                    self.placer_host.record_heard(session.outbox)
                 session.zone = message.zone
                 self._receive_zone_state(message)
                 if (
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -145,6 +145,7 @@
         origin,
         now: float,
         client_zone: str = "",
+        heard_at: float | None = None,
     ) -> None:
         """Admits or refuses a job; a resubmitted one is attached or answered.
 
@@ -159,11 +160,17 @@
             origin: Session of the dispatcher that submits it.
             now: The current time.
             client_zone: Zone of that dispatcher; empty if unknown.
+            heard_at: When that dispatcher certainly had it; now if None.
         """
         tables = self.tables
+        if heard_at is None:
+            heard_at = now
+        else:
+            tables.origins_heard_at.setdefault(origin, heard_at)
         job = tables.jobs.get(submission.job_id)
         if job is not None:
             job.origins.add(origin)
+            job.heard_until = max(job.heard_until, heard_at)
             job.deadline_at = max(job.deadline_at, now + submission.left_s)
             self._log(events.Event.ZONE_JOB_ATTACHED, job=job.id)
             self._follow_newer_queue(job, submission, now)
@@ -197,6 +204,7 @@
             return
         job = self._new_job(submission, origin, ended_job, now)
         job.client_zone = client_zone
+        job.heard_until = heard_at
         if self.policy.spread_retries:
             first_arrived_at = self.returns.take(job.id, now)
             if first_arrived_at is not None:
@@ -511,7 +519,7 @@
 
         Args:
             origin: The session of the dispatcher.
-            at: The time, not later than when its message was sent.
+            at: The time, not later than when its heartbeat was sent.
         """
         self.tables.origins_heard_at[origin] = at
 
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -134,7 +134,13 @@
     ) -> None:
         """Submits a job; `origin.post` receives the verdict."""
         self._last_demand = submission.step.demand
-        self.placer.submit(submission, origin, clock.now(), client_zone)
+        self.placer.submit(
+            submission,
+            origin,
+            clock.now(),
+            client_zone,
+            self._dispatcher.inputs_read_until,
+        )
         self._dispatcher.wake()
 
     def cancel(self, job_id: str, origin, reason: str) -> None:
@@ -169,10 +175,11 @@
         self.placer.notices.handle_new_placer()
 
     def record_heard(self, origin) -> None:
-        """Records a message of a dispatcher.
+        """Records a heartbeat of a dispatcher.
 
         It may have been sent at any time since the inputs of this process were
-        last read.
+        last read. Other messages prove nothing of the clients that wait: one
+        that stood still may send them before it reads that these have left.
         """
         self.placer.record_heard(origin, self._dispatcher.inputs_read_until)
 
--- a/acacialine/tests/test_job_fates.py
+++ b/acacialine/tests/test_job_fates.py
@@ -653,6 +653,27 @@
         self.assertEqual(job.origins, set())
         self.assertLessEqual(job.attended_until(network.now), stood_still_at)
 
+    def test_a_submission_does_not_prove_that_other_clients_wait(self):
+        network = self.network
+        network.is_cut = True  # no zone confirms the job
+        placer = network.hosts["a1"].placer
+        link = network.dispatchers["a2"].hub.dialled_links
+        origin = next(iter(link.values())).accepted.outbox
+        for job_id in (JOB, "00000000000000bb"):
+            job = build.submission(
+                job_id,
+                queue=build.queue(service=OLD),
+                step=build.step(1),
+                left_s=9.0,
+            )
+            network.hosts["a1"].submit(job, origin)
+            network.advance(0.5)
+        first, second = placer.tables.jobs.values()
+        self.assertLess(first.attended_until(network.now), network.now - 0.9)
+        self.assertGreater(
+            second.attended_until(network.now), network.now - 0.6
+        )
+
     def test_short_jobs_are_not_announced(self):
         network = self.network
         for number in range(1, 5):
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -8,6 +8,7 @@
 import attrs
 import trio
 
+from acacialine import clock
 from acacialine import codec
 from acacialine import errors
 from acacialine import ids
@@ -129,6 +130,29 @@
 
         self.run_scenario(scenario)
 
+    def test_a_heartbeat_waits_after_a_stand_still(self):
+        # It made placers renew the leases of clients that had left meanwhile,
+        # before their end was read.
+        async def report_after_reading(link):
+            await trio.sleep(0.08)  # due while the process stands still
+            await trio.sleep(0.02)
+            link.post(messages.CancelJob("a", "caller left"))
+
+        async def scenario(acceptor, dialler, link):
+            await self.wait_for(lambda: len(acceptor.requests) > 3)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(report_after_reading, link)
+                await trio.sleep(0.01)
+                acceptor.requests.clear()
+                until = clock.now() + 0.2
+                while clock.now() < until:
+                    pass
+                await self.wait_for(lambda: len(acceptor.requests) > 1)
+            cancel = messages.CancelJob("a", "caller left")
+            self.assertEqual(acceptor.requests[0][0], cancel)
+
+        self.run_scenario(scenario)
+
     def test_a_heartbeat_of_another_sender_ends_the_link(self):
         async def scenario(acceptor, dialler, link):
             dialler.state = new_state("10.9.9.9-1-" + "c" * 16)
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -341,7 +341,8 @@
             with any can no longer be refused as not run.
         orphaned_at: When its last origin was lost or had answered its clients.
         origins_heard_at: See `ZoneTables`; shared by all jobs.
-        heard_until: Until when its last origin is known to have waited for it.
+        heard_until: When a dispatcher last submitted it; without origins until
+            when the last one is known to have waited for it.
         keeper: Session of the dispatcher that keeps it for a retry of its
             client; None if none does.
         kept_until: Until when it may run past its deadline, as all zones know
@@ -423,10 +424,11 @@
 
     def _heard_until(self, now: float) -> float:
         """Returns until when a dispatcher is known to have waited for it."""
-        if not self.origins:
-            return self.heard_until
-        heard_at = max(self.origins_heard_at.get(o, now) for o in self.origins)
-        return min(heard_at, self.deadline_at)
+        heard_at = max(
+            (self.origins_heard_at.get(o, now) for o in self.origins),
+            default=-1e9,
+        )
+        return min(max(heard_at, self.heard_until), self.deadline_at)
 
     def key(self, index: int) -> TaskKey:
         """Returns the key of the task with this index."""
