--- a/acacialine/tests/test_job_fates_properties.py
+++ b/acacialine/tests/test_job_fates_properties.py
@@ -114,7 +114,6 @@
             lambda current, at: intake.cancellations.receive_reply(
                 peer_id, job_id, was_open, at
             ),
-            is_reply=True,
         )
 
     def cancel(self, job_id):
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -105,23 +105,14 @@
             and self.now >= max(link.down_until, owner.paused_until)
         )
 
-    def send(self, link, deliver, is_reply=False):
-        """Delivers a message unless the link breaks before.
-
-        Args:
-            link: The link.
-            deliver: Called with the placer and the time.
-            is_reply: Whether the placer sends it.
-        """
+    def send(self, link, deliver):
+        """Delivers a message unless the link breaks before."""
         generation = link.generation
         owner = self.zones[link.zone].owner
-        sent_at = self.now
 
         def arrive(at):
             is_same = self.zones[link.zone].owner is owner
             if is_same and generation == link.generation and self.is_up(link):
-                if not is_reply:
-                    owner.placer.record_heard(link.session, sent_at)
                 deliver(owner, at)
 
         if self.is_up(link):
@@ -154,7 +145,7 @@
                         at,
                     )
 
-            self.send(link, deliver, is_reply=True)
+            self.send(link, deliver)
 
     def share(self, owner, job_id):
         zone = owner.placer.tables.zone
@@ -306,17 +297,24 @@
             link = self.links[(dispatcher, zone)]
             if self.now >= link.heartbeat_due_at:
                 link.heartbeat_due_at = self.now + HEARTBEAT_INTERVAL_S
-                self.send(link, lambda owner, at: None)
+                self._send_heartbeat(link)
+
+    def _send_heartbeat(self, link):
+        session, sent_at = link.session, self.now
+        self.send(
+            link,
+            lambda owner, at: owner.placer.record_heard(session, sent_at),
+        )
 
     def execute(self, dispatcher, order):
         match order:
             case intake_lib.HandOverJob(placer, submission):
                 link = self.links[(dispatcher, placer.zone)]
-                session = link.session
+                session, sent_at = link.session, self.now
                 self.send(
                     link,
                     lambda owner, at: owner.placer.submit(
-                        submission, session, at
+                        submission, session, at, heard_at=sent_at
                     ),
                 )
             case intake_lib.CancelJob(peer_id, job_id, reason):
@@ -362,7 +360,6 @@
             lambda current, at: self.intakes[link.dispatcher].confirm_kept_job(
                 peer_id, job_id
             ),
-            is_reply=True,
         )
 
     # Clients
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -435,9 +435,9 @@
         if self.now >= self.still_until.get(dispatcher, 0.0):
             super().tick_intake(dispatcher)
 
-    def send(self, link, deliver, is_reply=False):
+    def send(self, link, deliver):
         if link.dispatcher == link.zone or self.now >= self.cut_until:
-            super().send(link, deliver, is_reply)
+            super().send(link, deliver)
 
     def cut_zones_silently(self, seconds):
         """Loses what the zones tell each other; their links stay open."""
