--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -52,6 +52,9 @@
 MAX_TASKS = 100_000
 MAX_HANDOVERS = 10_000
 MAX_NUMBER = 1e9  # of a time in s or a factor
+# Jobs count as unattended after this time, which two ticks of a busy process
+# and the confirmation of other zones take.
+UNATTENDED_S = 0.25
 # Demand of a task that is assumed until the first job arrives.
 DEFAULT_DEMAND = resources.Resources(cpu=7000)
 
@@ -284,6 +287,12 @@
         meters.doubtful_runs.set(doubtful_runs)
         meters.doubtful_cpu_millicores.set(doubtful_cpu)
         meters.lingering_runs.set(lingering_runs)
+        meters.unattended_jobs.set(
+            sum(
+                bool(job.runs) and now - job.attended_until(now) > UNATTENDED_S
+                for job in tables.jobs.values()
+            )
+        )
         meters.share_credit.clear()
         for key, competitor in self.placer.shares.competitors.items():
             meters.share_credit.labels(key.zone, key.queue or "all").set(
--- a/acacialine/prometheusmetrics.py
+++ b/acacialine/prometheusmetrics.py
@@ -104,6 +104,11 @@
             "Runs on backend servers that do not answer polls.",
             (),
         )
+        self.unattended_jobs = self._gauge(
+            "acacialine_unattended_jobs",
+            "Jobs that keep the leases of their servers short.",
+            (),
+        )
         self.lingering_runs = self._gauge(
             "acacialine_lingering_runs",
             "Runs without a job that have not ended.",
