A link whose heartbeats become more frequent is not taken for silent

Callers saw (KNOWN-RED 41, test_an_evacuated_zone_starts_no_task_until_the_record_ is_removed): a restarted entry takes the zone from the entry that took it over from its predecessor, which costs the zone a second takeover.

Cause: an entry dials all others with heartbeats each 0.8 s, and shortens that to 0.15 s once it has read which ones are candidates. The loop that waits for the next heartbeat went on waiting, and then held the last reply, 0.8 s old, against the limit of the shorter interval (0.6 s). It closed the link as silent. An entry that has just started hears no other member for a moment then, and claims the zone.

Evidence: logs of two of three runs at once: a1 is restarted, E860 peer_connected peer=a2 at 19.537, E861 peer_disconnected reason=silent at 20.334, E830 zone_owned at 20.335; a2, which owned the zone, E831 zone_resigned reason=superseded at 20.355. The same drop of a link 0.8 s after each start.

Change: a shorter interval begins with a heartbeat at once, and the limit counts from it, as it did for the first job on a link.

Measured: a new test of test_peering fails before (closed as silent) and passes.

--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -286,7 +286,7 @@
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _outbox: LinkSocket | None = None
     _job_at: float = -1e9
-    _first_job: trio.Event = attrs.field(factory=trio.Event)
+    _is_due_sooner: trio.Event = attrs.field(factory=trio.Event)
 
     @property
     def is_open(self) -> bool:
@@ -304,12 +304,21 @@
         last_contact_at = max(self.created_at, self.heard_at)
         return self.is_refused or now - last_contact_at > UNREACHABLE_AFTER_S
 
+    def set_heartbeat_interval(self, interval_s: float) -> None:
+        """Changes the interval; a shorter one begins with a heartbeat now.
+
+        Else the reply to the last one would be older than the shorter limit.
+        """
+        if interval_s < self.heartbeat_interval_s:
+            self._is_due_sooner.set()
+        self.heartbeat_interval_s = interval_s
+
     def post(self, message: messages.Message) -> bool:
         """Sends a message; returns False if it cannot be sent."""
         if isinstance(message, messages.SubmitJob):
             now = clock.now()
             if not self._carries_jobs(now):
-                self._first_job.set()
+                self._is_due_sooner.set()
             self._job_at = now
         return self._outbox is not None and self._outbox.post(message)
 
@@ -375,9 +384,9 @@
             if now - max(self.heard_at, asked_at) > limit_s:
                 raise _LinkEndedError("silent")
             self.post_frame(self.hub.heartbeat_frame())
-            self._first_job = trio.Event()
+            self._is_due_sooner = trio.Event()
             with trio.move_on_after(interval_s):
-                await self._first_job.wait()
+                await self._is_due_sooner.wait()
                 # The reply to the last heartbeat may be older than the limit
                 # that applies from now on.
                 asked_at = clock.now()
@@ -520,7 +529,7 @@
             link = PeerLink(address, zone, heartbeat_interval_s, self)
             self.dialled_links[address] = link
             nursery.start_soon(link.run)
-        self.dialled_links[address].heartbeat_interval_s = heartbeat_interval_s
+        self.dialled_links[address].set_heartbeat_interval(heartbeat_interval_s)
 
     def drop(self, address: tuple[str, int]) -> None:
         """Closes and removes the link to an address, if there is one."""
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -130,6 +130,19 @@
 
         self.run_scenario(scenario)
 
+    def test_a_link_that_becomes_more_important_stays_open(self):
+        # It was taken for silent, as its last reply was older than the limit of
+        # the shorter interval: a restarted entry then took the zone from the
+        # placer that it no longer heard (KNOWN-RED 41).
+        async def scenario(acceptor, dialler, link):
+            link.set_heartbeat_interval(0.8)
+            await trio.sleep(0.1)  # the next heartbeat is due in 0.7 s
+            link.set_heartbeat_interval(0.15)
+            await trio.sleep(1.0)
+            self.assertEqual(dialler.closed, [])
+
+        self.run_scenario(scenario)
+
     def test_a_heartbeat_waits_after_a_stand_still(self):
         # It made placers renew the leases of clients that had left meanwhile,
         # before their end was read.
