A handed-over job takes no memory for each task that waits

Cause: a placer whose loop is slow leaves the zone to the other one. Each job that is handed over got an entry for the run number of each of its tasks, and its tasks were looked up one by one among the ends of an earlier owner. 42 jobs are 420,000 entries, and 24 ms for each job, in which the loop stands still, so the zone moves again. Ended jobs keep the entries for 6 s.

Evidence: counts of a scratch copy at 149 MB: 42 jobs, 415,553 waiting tasks, 401,534 run numbers of open and 150,004 of ended jobs.

Change: a job has one lowest run number and those of the tasks that differ (runnumbers). Ends of an earlier owner are searched by job where that is shorter.

--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -440,8 +440,8 @@
         is_isolated: bool,
         now: float,
     ) -> zonetables.Run:
-        number = job.next_run_number.get(index, 1)
-        job.next_run_number[index] = number + 1
+        number = job.run_numbers.lowest(index)
+        job.run_numbers.use(index, number)
         expected_s = job.estimate_s * serverhealth.slowness(server, now)
         run = zonetables.Run(
             job.key(index),
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -275,7 +275,7 @@
         )
         job.waiting.extend(range(submission.step.count))
         if ended_job:
-            job.next_run_number.update(ended_job.next_run_number)
+            job.run_numbers = ended_job.run_numbers.copy()
             job.failures.update(ended_job.failures)
             if ended_job.verdict != zonetables.Verdict.NOT_RUN:
                 # It ran before its clients left, so it can't be refused as
@@ -285,10 +285,9 @@
             # Start orders of an earlier owner may have taken effect, and its
             # leases may still be valid on servers not polled yet.
             job.possible_starts = 1
-            first_number = 1 + RUN_NUMBERS_PER_OWNER * submission.handovers
-            for index in range(submission.step.count):
-                number = job.next_run_number.get(index, 1)
-                job.next_run_number[index] = max(first_number, number)
+            job.run_numbers.raise_all(
+                1 + RUN_NUMBERS_PER_OWNER * submission.handovers
+            )
             job.hold_until = (
                 self.obeyed_since + self.runs.lease_times.superseded_owner_s
             )
@@ -599,11 +598,11 @@
         job.waiting.clear()
         if verdict is None and job.possible_starts:
             self._orders.append(orders_lib.ShareJob(job.id))
-        if verdict != zonetables.Verdict.NOT_RUN or job.next_run_number:
+        if verdict != zonetables.Verdict.NOT_RUN or job.run_numbers.is_used:
             # Removed first, so that the table stays in the order of the ends.
             self.tables.ended_jobs.pop(job.id, None)
             self.tables.ended_jobs[job.id] = zonetables.EndedJob(
-                verdict, reason, job.next_run_number, now, job.failures
+                verdict, reason, job.run_numbers, now, job.failures
             )
         self.notices.record_verdict(job.id, verdict, now)
         if verdict is not None and job.origins:
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -1,5 +1,6 @@
 """Decisions of the placer and its handling of run results."""
 
+import tracemalloc
 import unittest
 
 from acacialine import doubtfulruns
@@ -482,6 +483,30 @@
         self.assertEqual(build.announced(new_orders), [run.key.job_id])
         self.assertEqual(build.stops(new_orders), [])
 
+    def test_a_handed_over_job_takes_no_memory_for_each_waiting_task(self):
+        # A crowd of jobs of 10,000 tasks that changed its placer ran the next
+        # one out of memory (review/7).
+        def measure(handovers):
+            placer = build.placer(build.server(cpu=32000))
+            step = build.step(10_000, cpu=1)
+            queue = build.queue(target_latency_s=600.0)
+            tracemalloc.start()
+            for number in range(5):
+                submission = build.submission(
+                    f"{number:016x}",
+                    step=step,
+                    queue=queue,
+                    left_s=90.0,
+                    handovers=handovers,
+                )
+                placer.submit(submission, "dispatcher", 0.0)
+            size, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            self.assertEqual(len(placer.tables.jobs), 5)
+            return size
+
+        self.assertLess(measure(1), 1.2 * measure(0))
+
     def test_an_unknown_job_of_a_suspect_dispatcher_ends(self):
         # The lease of its server can't be renewed, so its neighbours would end
         # too if it was only stopped when the dispatcher counts as lost.
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -139,11 +139,17 @@
             for run in list(server.runs.values()):
                 if run.job is None and run.key.job_id == job.id:
                     self._adopt_run(server, run, job)
-        for index in range(job.step.count):
-            if job.key(index) in self.tables.unclaimed_ends:
-                job.done.add(index)
-                if index in job.waiting:
-                    job.waiting.remove(index)
+        for index in self._unclaimed_ends_of(job):
+            job.done.add(index)
+            if index in job.waiting:
+                job.waiting.remove(index)
+
+    def _unclaimed_ends_of(self, job: zonetables.Job) -> list[int]:
+        """Returns the tasks of a job that were done under an earlier owner."""
+        ends = self.tables.unclaimed_ends
+        if len(ends) < job.step.count:
+            return [key.index for key in ends if key.job_id == job.id]
+        return [i for i in range(job.step.count) if job.key(i) in ends]
 
     def _adopt_run(
         self,
@@ -164,9 +170,7 @@
         run.demand = job.step.demand
         server.occupy(run.demand)
         job.runs[index] = run
-        job.next_run_number[index] = max(
-            job.next_run_number.get(index, 1), run.number + 1
-        )
+        job.run_numbers.use(index, run.number)
         job.waiting.remove(index)
         self.tables.counters["runs_adopted"] += 1
 
@@ -227,8 +231,8 @@
         job.possible_starts -= 1
         job.runs.pop(run.key.index, None)
         if outcome == orders_lib.StartOutcome.OLD_NUMBER:
-            job.next_run_number[run.key.index] = (
-                run.number + OLD_NUMBER_INCREMENT
+            job.run_numbers.use(
+                run.key.index, run.number + OLD_NUMBER_INCREMENT - 1
             )
         job.avoided_servers[run.key.index] = server.id
         job.waiting.appendleft(run.key.index)
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -15,6 +15,7 @@
 from acacialine import jobfates
 from acacialine import losses as losses_lib
 from acacialine import resources as resources_lib
+from acacialine import runnumbers
 
 ENDED_RUNS_RETENTION_S = 5.0  # exceeds the delay of any poll response
 ENDED_JOBS_RETENTION_S = 6.0  # clients resubmit a job within seconds
@@ -331,7 +332,7 @@
         waiting: Indices of tasks that are to be started.
         done: Indices of tasks that are done.
         runs: Live run of each task, by index.
-        next_run_number: Lowest unused run number of each task, by index.
+        run_numbers: Which run numbers of its tasks are used.
         failures: Number of failed runs of each task, by index.
         avoided_servers: Id of the server that the next run of a task avoids,
             by index.
@@ -377,7 +378,9 @@
     waiting: collections.deque = attrs.field(factory=collections.deque)
     done: set[int] = attrs.field(factory=set)
     runs: dict[int, Run] = attrs.field(factory=dict)
-    next_run_number: dict[int, int] = attrs.field(factory=dict)
+    run_numbers: runnumbers.RunNumbers = attrs.field(
+        factory=runnumbers.RunNumbers
+    )
     failures: dict[int, int] = attrs.field(factory=dict)
     avoided_servers: dict[int, str] = attrs.field(factory=dict)
     unanswered_servers: dict[int, str] = attrs.field(factory=dict)
@@ -450,13 +453,13 @@
 
     Attributes:
         verdict: The answer; None if none was sent.
-        next_run_number: Lowest unused run number of each task, by index.
+        run_numbers: Which run numbers of its tasks are used.
         failures: Number of failed runs of each task, by index.
     """
 
     verdict: Verdict | None
     reason: str
-    next_run_number: dict[int, int]
+    run_numbers: runnumbers.RunNumbers
     ended_at: float
     failures: dict[int, int] = attrs.field(factory=dict)
 
