A dispatcher that was silent for a moment submits its ended jobs again

The jobs of a suspect dispatcher that a zone has not confirmed end at once, but a dispatcher that is alive, and whose link stays open, was not told. Its clients waited until their deadline.

Cause: the end of a job without a client has no verdict.

Change: the dispatcher is told that the job may still run in this zone. It submits it again as handed over, and the task starts after the end of its stopped run.

Measured: the test of test_placer has two more assertions, which fail before (no answer) and pass. test_lost_dispatchers and test_kept_jobs pass.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -502,7 +502,10 @@
         self.tables.counters["overlapping"] += 1
 
     def _send_elsewhere(self, job_id: str, origins: tuple, zone: str) -> None:
-        """Answers a job with the name of the zone that may still run it."""
+        """Answers a job with the name of the zone that may still run it.
+
+        That may be this one: then it is submitted here again as handed over.
+        """
         self._log(events.Event.ZONE_JOB_ELSEWHERE, job=job_id, zone=zone)
         self._orders.append(
             orders_lib.AnswerJob(
@@ -528,7 +531,7 @@
         Meanwhile no task of its jobs starts, and all zones are told of their
         runs: this placer may be lost too before it has ended them. Jobs that a
         zone has not confirmed end at once, as their leases are about to end
-        with all other runs there.
+        with all other runs there; a dispatcher that lives submits them again.
         """
         if not is_suspect:
             self._suspect_origins.discard(origin)
@@ -538,6 +541,7 @@
         for job in list(self.tables.jobs.values()):
             if job.origins == {origin} and job.runs and now > job.known_until:
                 self.cancel(job.id, origin, "entry lost", now)
+                self._send_elsewhere(job.id, (origin,), self.tables.zone)
 
     def _announce_jobs_of(self, origin, now: float) -> None:
         for job in self.tables.jobs.values():
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -514,7 +514,12 @@
         (run,) = build.starts(self.submit(placer, step=build.step(1)))
         self.confirm(placer, [run])
         placer.set_suspect("dispatcher", True, 0.6)
-        self.assertEqual(build.stops(placer.take_orders()), [run])
+        new_orders = placer.take_orders()
+        self.assertEqual(build.stops(new_orders), [run])
+        # One that lives after all must not wait for an answer in vain.
+        (answer,) = build.answers(new_orders)
+        self.assertEqual(answer.verdict, zonetables.Verdict.ELSEWHERE)
+        self.assertEqual(answer.reason, "zone-a")
 
     def test_leases_count_from_the_last_word_of_the_dispatcher(self):
         # A dispatcher that is cut off with its clients was taken for lost 1 s
