--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -21,6 +21,7 @@
 MAX_POLL_WAIT_SHARE = 0.4
 # Margin for the delay of the poll from which an owner learns of its successor.
 FENCING_MARGIN_S = 0.1
+NEVER_ATTENDED = -1e9
 
 
 @attrs.frozen
@@ -105,3 +106,33 @@
     """Records that a request with a lease, if any, may reach its server."""
     if lease is not None:
         server.lease_until = max(server.lease_until, lease.ends_by)
+
+
+def needs_lease(server: zonetables.Server, now: float) -> bool:
+    """Returns whether the leases of a server are to be renewed.
+
+    They are while any of its runs has a job, but not before the stops of all
+    others are confirmed.
+    """
+    return attended_until(server, now) > NEVER_ATTENDED and any(
+        run.job is not None for run in server.runs.values()
+    )
+
+
+def attended_until(server: zonetables.Server, now: float) -> float:
+    """Returns from when a lease that a server gets now is to count.
+
+    A lease holds for all runs of a server, so renewing it for one lets another
+    go on whose client may be about to send its job to another zone. It counts
+    from when the jobs of all runs were last attended: nobody then has to
+    withdraw it in time, not even this process. No lease is to be given beside a
+    run without a job before its stop is confirmed: it is not known when its
+    client last waited, also if a dispatcher may yet hand its job over.
+    """
+    until = now
+    for run in server.runs.values():
+        if run.job is not None:
+            until = min(until, run.job.attended_until(now))
+        elif run.stop_confirmed_at is None:
+            return NEVER_ATTENDED
+    return until
--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -11,6 +11,7 @@
 import attrs
 
 from acacialine import events
+from acacialine import leases
 from acacialine import lookahead
 from acacialine import orders as orders_lib
 from acacialine import placementpolicy
@@ -272,7 +273,7 @@
             and not zoneruns.has_unclaimed_runs(server)
             and not server.isolated_runs
             # A start carries a lease for all runs of its server.
-            and zoneruns.attended_until(server, now)
+            and leases.attended_until(server, now)
             + self._runs.lease_times.length_s
             >= now + MIN_START_LEASE_S
         )
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -563,7 +563,7 @@
         if server.runs_listed and server.runs:
             settings = self._dispatcher.settings.placement
             lease_s = poller.client.lease_s
-            lease_left_s = zoneruns.attended_until(server, now) + lease_s - now
+            lease_left_s = leases.attended_until(server, now) + lease_s - now
             wait_s = min(
                 settings.look_wait_ms / 1000,
                 max(MIN_POLL_WAIT_S, lease_left_s * leases.MAX_POLL_WAIT_SHARE),
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -19,7 +19,6 @@
 from acacialine import leases
 from acacialine import orders
 from acacialine import ordertimeouts
-from acacialine import zoneruns
 from acacialine import zonetables
 
 CONNECT_TIMEOUT_S = 0.25  # connecting within a zone takes under 1 ms
@@ -367,13 +366,13 @@
         """Returns the lease that a poll requests; None if it needs none."""
         if not self.server.clock_at or not self.observer.may_extend_leases():
             return None
-        if not zoneruns.needs_lease(self.server, now):
+        if not leases.needs_lease(self.server, now):
             return None
         return self._new_lease(now)
 
     def _new_lease(self, now: float) -> leases.Lease | None:
         """Returns the lease that a request carries; None if it may not."""
-        since = zoneruns.attended_until(self.server, now)
+        since = leases.attended_until(self.server, now)
         if since + self.lease_s <= now:
             return None
         return leases.new_lease(self.server, self.lease_s, since)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -4,10 +4,10 @@
 import unittest
 
 from acacialine import doubtfulruns
+from acacialine import leases
 from acacialine import orders
 from acacialine import placement
 from acacialine import schedule
-from acacialine import zoneruns
 from acacialine import zonetables
 from acacialine.tests import zonebuilders as build
 
@@ -340,11 +340,11 @@
         successor = build.placer()
         server = successor.tables.servers[run.server.id]
         self.poll(successor, server, 0.2, [orders.RunningRow(run.key, 1, 50)])
-        self.assertFalse(zoneruns.needs_lease(server, 0.3))
-        self.assertFalse(zoneruns.needs_lease(server, 0.5))
+        self.assertFalse(leases.needs_lease(server, 0.3))
+        self.assertFalse(leases.needs_lease(server, 0.5))
         placer = build.placer()
         run, _ = build.starts(self.submit(placer))
-        self.assertTrue(zoneruns.needs_lease(run.server, 0.5))
+        self.assertTrue(leases.needs_lease(run.server, 0.5))
 
     def test_an_unconfirmed_stop_holds_back_the_leases_of_its_server(self):
         # A lease holds for all runs of a server: renewed for the neighbours, it
@@ -357,14 +357,14 @@
             self.submit(placer, job_id=neighbour, step=step)
         )
         self.confirm(placer, [run, other])
-        self.assertTrue(zoneruns.needs_lease(run.server, 0.1))
+        self.assertTrue(leases.needs_lease(run.server, 0.1))
         placer.cancel(run.key.job_id, "dispatcher", "deadline", 0.1)
-        self.assertFalse(zoneruns.needs_lease(run.server, 0.1))
+        self.assertFalse(leases.needs_lease(run.server, 0.1))
         third = "00000000000000cc"
         new_orders = self.submit(placer, 0.11, job_id=third, step=step)
         self.assertEqual(build.starts(new_orders), [])
         placer.runs.handle_stop_result(run, True, 0.12)
-        self.assertTrue(zoneruns.needs_lease(run.server, 0.12))
+        self.assertTrue(leases.needs_lease(run.server, 0.12))
         placer.tick(0.13)
         self.assertEqual(len(build.starts(placer.take_orders())), 1)
 
@@ -382,13 +382,13 @@
         self.poll(placer, server, 0.1, rows)
         step = build.step(1)
         self.submit(placer, 0.2, job_id=claimed, step=step, handovers=1)
-        self.assertFalse(zoneruns.needs_lease(server, 0.3))
+        self.assertFalse(leases.needs_lease(server, 0.3))
         placer.tick(0.4)
         (run,) = build.stops(placer.take_orders())
         self.assertEqual(run.key.job_id, lost)
-        self.assertFalse(zoneruns.needs_lease(server, 0.4))
+        self.assertFalse(leases.needs_lease(server, 0.4))
         self.poll(placer, server, 0.5, rows[1:])
-        self.assertTrue(zoneruns.needs_lease(server, 0.5))
+        self.assertTrue(leases.needs_lease(server, 0.5))
 
     def test_a_job_whose_starts_were_refused_is_answered_as_not_run(self):
         placer = build.placer()
@@ -528,15 +528,15 @@
         step = build.step(1)
         (run,) = build.starts(self.submit(placer, step=step, left_s=9.0))
         placer.record_heard("dispatcher", 0.2)
-        self.assertEqual(zoneruns.attended_until(run.server, 0.5), 0.2)
+        self.assertEqual(leases.attended_until(run.server, 0.5), 0.2)
         placer.submit(
             build.submission("00000000000000bb", step=step), "other", 0.5
         )
         placer.record_heard("other", 0.5)
         placer.tick(0.5)
-        self.assertEqual(zoneruns.attended_until(run.server, 0.6), 0.2)
+        self.assertEqual(leases.attended_until(run.server, 0.6), 0.2)
         placer.tables.jobs[run.key.job_id].known_until = 2.0
-        self.assertEqual(zoneruns.attended_until(run.server, 0.6), 0.5)
+        self.assertEqual(leases.attended_until(run.server, 0.6), 0.5)
 
     def test_no_task_starts_for_a_suspect_dispatcher(self):
         placer = build.placer()
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -11,7 +11,6 @@
 from acacialine import leases
 from acacialine import orders
 from acacialine import placer as placer_lib
-from acacialine import zoneruns
 from acacialine.tests import zonebuilders as build
 from acacialine.tools import fakeservers
 
@@ -233,12 +232,12 @@
             self.placer.runs.crashes.record(server, "refused", now)
             return
         lease = None
-        since = zoneruns.attended_until(server, now)
+        since = leases.attended_until(server, now)
         if (
             server.clock_at
             and not is_listing
             and self.placer.runs.may_extend_leases(now)
-            and zoneruns.needs_lease(server, now)
+            and leases.needs_lease(server, now)
             and since + LEASE_S > now
         ):
             lease = leases.new_lease(server, LEASE_S, since)
@@ -300,7 +299,7 @@
                 run, orders.StartOutcome.UNHEALTHY, now
             )
             return
-        since = zoneruns.attended_until(run.server, now)
+        since = leases.attended_until(run.server, now)
         lease = leases.new_lease(run.server, LEASE_S, since)
         run.not_after = lease.ends_by
         run.server.lease_until = max(run.server.lease_until, lease.ends_by)
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -23,7 +23,6 @@
 RESUME_CHECK_S = 0.1
 STALL_TIMEOUT_S = 0.25  # minimum time without progress
 STALL_MIN_AGE_RATIO = 2.5  # minimum age of a stalled run / its expected time
-NEVER_ATTENDED = -1e9
 # Added to a run number that a backend server refused as too old.
 OLD_NUMBER_INCREMENT = 8
 
@@ -347,7 +346,7 @@
         self.crashes.retract(server, now)
         for row in poll_result.ended:
             self._record_end(server, row, now)
-        renewed_at = attended_until(server, polled_at)
+        renewed_at = leases.attended_until(server, polled_at)
         listed_runs = {
             (row.key, row.number): row for row in poll_result.running
         }
@@ -618,36 +617,6 @@
         self.emit(orders_lib.LogDecision(event, fields))
 
 
-def needs_lease(server: zonetables.Server, now: float) -> bool:
-    """Returns whether the leases of a server are to be renewed.
-
-    They are while any of its runs has a job, but not before the stops of all
-    others are confirmed.
-    """
-    return attended_until(server, now) > NEVER_ATTENDED and any(
-        run.job is not None for run in server.runs.values()
-    )
-
-
-def attended_until(server: zonetables.Server, now: float) -> float:
-    """Returns from when a lease that a server gets now is to count.
-
-    A lease holds for all runs of a server, so renewing it for one lets another
-    go on whose client may be about to send its job to another zone. It counts
-    from when the jobs of all runs were last attended: nobody then has to
-    withdraw it in time, not even this process. No lease is to be given beside a
-    run without a job before its stop is confirmed: it is not known when its
-    client last waited, also if a dispatcher may yet hand its job over.
-    """
-    until = now
-    for run in server.runs.values():
-        if run.job is not None:
-            until = min(until, run.job.attended_until(now))
-        elif run.stop_confirmed_at is None:
-            return NEVER_ATTENDED
-    return until
-
-
 def has_unclaimed_runs(server: zonetables.Server) -> bool:
     """Returns whether a server has unclaimed runs, whose demand is unknown."""
     return server.unclaimed_runs > 0
