Tests of suspensions wait for the placers, not for a time

Cause: test_a_resumed_placer_starts_no_job_that_its_entry_took_back waited for 1 s until the zones know each other. Beside load 20 the placer of zone b does not know its servers by then, reports no free slots (E802 free_elsewhere=0), and no job goes there before it is suspended.

Evidence: logs of a failed run, one of six at load 20 to 25: all six jobs stay in zone a, two run and four are refused. The run before it that failed was likely the same; its log was not kept.

Change: the tests wait until both placers list all servers of their zone, at most 20 s, and then for the second as before.

--- a/acacialine/tests/test_suspensions.py
+++ b/acacialine/tests/test_suspensions.py
@@ -47,6 +47,7 @@
                     )
                     try:
                         await cluster.start(servers, {"a1": "a", "b1": "b"})
+                        await self.wait_for_placers(cluster)
                         await trio.sleep(1.0)  # until zones know each other
                         await scenario(cluster)
                         self.assertEqual(cluster.fake_servers.violations, [])
@@ -59,6 +60,16 @@
 
         trio.run(main)
 
+    async def wait_for_placers(self, cluster):
+        """Waits until both placers know all servers of their zone."""
+        zones = [server.zone for server in cluster.servers]
+        with trio.fail_after(20):
+            for name in cluster.processes:
+                while cluster.read_log(name).count(
+                    " E820 zone_server_listed "
+                ) < zones.count(name[0]):
+                    await trio.sleep(0.05)
+
     async def send_while_suspended(self, cluster, run_client, count):
         """Suspends b1 and runs clients meanwhile."""
         process = cluster.processes["b1"]
