Leases have their whole length where there is no other zone

Callers saw: nothing yet; found while the diff was read. An installation with one zone has no other zone that could start a job, but its leases counted from the last heartbeat until the first notice of the job. A placer whose loop is slow dates heartbeats by up to two of its rounds, and starts nothing once these take 0.35 s each.

Cause: a job counted as known to all zones only after a notice, also without a zone to tell.

Change: without another zone a job counts as known from its acceptance. A change of the zones ends that for all jobs and tells them again.

Measured: a new test fails before (the lease counts from the heartbeat) and passes.

--- a/acacialine/fatesharing.py
+++ b/acacialine/fatesharing.py
@@ -89,7 +89,7 @@
         if dispatcher.placer_host is None:
             return
         zones = dispatcher.intake.zones
-        dispatcher.placer_host.placer.notices.other_zones = (
+        dispatcher.placer_host.placer.notices.update_zones(
             zones - {dispatcher.zone} if zones else None
         )
         for zone, placer in placers.items():
--- a/acacialine/jobnotices.py
+++ b/acacialine/jobnotices.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import math
 
 import attrs
 
@@ -68,6 +69,11 @@
     _last_number: int = 0
     _unconfirmed: dict[int, OpenJobsNotice] = attrs.field(factory=dict)
 
+    def record_acceptance(self, job: zonetables.Job) -> None:
+        """Marks a new job as known if there is no other zone to tell."""
+        if self.other_zones is not None and not self.other_zones:
+            job.known_until = math.inf
+
     def record_fate(self, job_id: str, fate: jobfates.Fate, now: float) -> None:
         """Records how a job ended here, and tells others."""
         self._tables.fates.record(job_id, fate, now, is_local=True)
@@ -157,7 +163,8 @@
         for job_id in notice.job_ids:
             job = self._tables.jobs.get(job_id)
             if job is not None:
-                job.known_until = notice.sent_at + KNOWN_JOB_S
+                until = notice.sent_at + KNOWN_JOB_S
+                job.known_until = max(job.known_until, until)
 
     def _drop_expired(self, now: float) -> None:
         while self._unconfirmed:
@@ -166,6 +173,12 @@
                 return
             del self._unconfirmed[number]
 
+    def update_zones(self, other_zones: frozenset[str] | None) -> None:
+        """Replaces the other zones; a new one knows of no job."""
+        if other_zones != self.other_zones:
+            self.other_zones = other_zones
+            self.handle_new_placer()
+
     def handle_new_placer(self) -> None:
         """Tells all zones again, as one has a placer that may not know."""
         self._unconfirmed.clear()
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -232,6 +232,7 @@
             self._refuse_job(job, decision.reason, decision.forecast, now)
             return
         tables.jobs[job.id] = job
+        self.notices.record_acceptance(job)
         if self.policy.fair_share:
             self.shares.record_acceptance(job)
         self._log(
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -538,6 +538,15 @@
         placer.tables.jobs[run.key.job_id].known_until = 2.0
         self.assertEqual(leases.attended_until(run.server, 0.6), 0.5)
 
+    def test_leases_are_not_limited_where_there_is_no_other_zone(self):
+        placer = build.placer()
+        placer.notices.update_zones(frozenset())
+        placer.record_heard("dispatcher", 0.0)
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.assertEqual(leases.attended_until(run.server, 0.9), 0.9)
+        placer.notices.update_zones(frozenset({"zone-b"}))
+        self.assertEqual(leases.attended_until(run.server, 0.9), 0.0)
+
     def test_no_task_starts_for_a_suspect_dispatcher(self):
         placer = build.placer()
         placer.set_suspect("dispatcher", True, 0.0)
