Words of the new code: a paused process

Cause: constants, tests and pages of this issue said "stands still" where the rest of the code says that a process is paused, and two texts still told what a successor did before.

Change: words only.

Measured: test_peering, test_job_fates, LostRunsTest and test_docs pass.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -101,8 +101,8 @@
         fate_sharing: Tells other dispatchers how jobs ended, and learns it.
         summary_exchange: Exchanges summaries with other zones.
         inputs_read_until: Time of a tick since which all sockets were read.
-            What is read now was sent after it, however long this process stood
-            still in between.
+            What is read now was sent after it, however long this process was
+            paused in between.
     """
 
     settings: dispatchsettings.Settings
--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -62,8 +62,9 @@
         """Time after which the leases that a lost owner gave have ended.
 
         Leases that others extend are announced by the placer that extends them.
-        A successor may list a run just before its lease ends, renew the lease
-        until the adoption timeout and then lose the backend server.
+        A successor of an earlier release may list a run just before its lease
+        ends, renew the lease until the adoption timeout and then lose the
+        backend server.
         """
         return 2 * self.max_lease_s + ADOPTION_TIMEOUT_S
 
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -39,10 +39,10 @@
 CARRIES_JOBS_S = 10.0
 CARRIES_JOBS_MARGIN_S = 2.0
 SILENCE_CHECK_INTERVAL_S = 0.15
-# A heartbeat that is late by STAND_STILL_S, as this process stood still, waits
-# for two ticks more.
-STAND_STILL_S = 0.05
-STAND_STILL_PAUSE_S = 0.05
+# A heartbeat that is late by so much, as this process was paused, waits for two
+# ticks more.
+LATE_HEARTBEAT_S = 0.05
+LATE_HEARTBEAT_WAIT_S = 0.05
 UNREACHABLE_AFTER_S = 1.5  # since the last contact, without an open link
 RECONNECT_DELAY_S = 0.1
 RECONNECT_MAX_DELAY_S = 1.0
@@ -390,10 +390,10 @@
                 # The reply to the last heartbeat may be older than the limit
                 # that applies from now on.
                 asked_at = clock.now()
-            if clock.now() - now > interval_s + STAND_STILL_S:
+            if clock.now() - now > interval_s + LATE_HEARTBEAT_S:
                 # Placers take a heartbeat as proof that clients wait: those
                 # that left meanwhile are noticed and reported first.
-                await trio.sleep(STAND_STILL_PAUSE_S)
+                await trio.sleep(LATE_HEARTBEAT_WAIT_S)
 
     async def _receive(self, outbox: LinkSocket) -> None:
         decoder = _HeartbeatDecoder()
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -182,7 +182,7 @@
 
         It may have been sent at any time since the inputs of this process were
         last read. Other messages prove nothing of the clients that wait: one
-        that stood still may send them before it reads that these have left.
+        that was paused may send them before it reads that these have left.
         """
         self.placer.record_heard(origin, self._dispatcher.inputs_read_until)
 
@@ -395,7 +395,7 @@
             or now - self.placer.owned_since > LIST_WAIT_S
         ):
             self.placer.runs.awaits_list = False
-        # Its clients may have left unseen while this process stood still.
+        # Its clients may have left unseen while this process was paused.
         self.record_heard(self._dispatcher)
         self._deadlines.check(now)
         if self.placer.runs.outliers.are_polls_lossy(now):
--- a/acacialine/tests/test_job_fates.py
+++ b/acacialine/tests/test_job_fates.py
@@ -634,11 +634,11 @@
         job = network.hosts["a1"].placer.tables.jobs[JOB]
         self.assertLess(job.known_until, network.now)
 
-    def test_a_message_is_dated_before_a_stand_still_of_its_reader(self):
+    def test_a_message_is_dated_before_a_pause_of_its_reader(self):
         # Else leases are renewed for a client that left meanwhile.
         network = self.network
         network.send("a2", "POST")
-        stood_still_at = network.now
+        paused_at = network.now
         network.now += 0.35
         a1, a2 = network.dispatchers["a1"], network.dispatchers["a2"]
         (link,) = [
@@ -651,7 +651,7 @@
             deliver()
         job = a1.placer_host.placer.tables.jobs[JOB]
         self.assertEqual(job.origins, set())
-        self.assertLessEqual(job.attended_until(network.now), stood_still_at)
+        self.assertLessEqual(job.attended_until(network.now), paused_at)
 
     def test_a_submission_does_not_prove_that_other_clients_wait(self):
         network = self.network
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -407,7 +407,7 @@
     Attributes:
         stops_lost_until: Until when all stop orders are lost.
         unreachable_until: Until when new placers don't reach a server, by id.
-        still_until: Until when a dispatcher does nothing, by zone.
+        paused_until: Until when a dispatcher is paused, by zone.
         target: The dispatcher that clients reach.
     """
 
@@ -416,7 +416,7 @@
         self.random = _NoChance()
         self.stops_lost_until = 0.0
         self.unreachable_until = {}
-        self.still_until = {}
+        self.paused_until = {}
         self.target = ZONES[0]
         self.run_until(0.2)
 
@@ -432,7 +432,7 @@
         return self.target
 
     def tick_intake(self, dispatcher):
-        if self.now >= self.still_until.get(dispatcher, 0.0):
+        if self.now >= self.paused_until.get(dispatcher, 0.0):
             super().tick_intake(dispatcher)
 
     def send(self, link, deliver):
@@ -531,10 +531,10 @@
         simulation.target = "zone-b"
         self.check(until=4.0)
 
-    def test_a_dispatcher_that_stands_still_after_its_504(self):
+    def test_a_dispatcher_that_is_paused_after_its_504(self):
         # Its placer renewed the lease of the kept job on its word until it took
         # that back, by when the client had sent the job to the other zone
-        # (review/6 with a dispatcher that stands still).
+        # (review/6 with a dispatcher that is paused).
         simulation = self.simulation
         simulation.submit("zone-a", NEIGHBOUR)
         simulation.run_until(0.3)
@@ -543,14 +543,14 @@
         simulation.submit("zone-a", JOB, left_s=0.8)
         simulation.run_until(1.08)
         self.assertEqual(len(simulation.answers[JOB]), 1)
-        simulation.still_until["zone-a"] = 1.98
+        simulation.paused_until["zone-a"] = 1.98
         simulation.target = "zone-b"
         self.check(until=4.0)
 
     def test_a_successor_that_lists_a_cancelled_run(self):
         # It renewed the lease until the adoption timeout, by when the client
         # was about to send the job to the other zone (review/6 with a placer
-        # that stands still and is succeeded).
+        # that is paused and is succeeded).
         simulation = self.simulation
         simulation.succeeded_after_s = (0.1, 0.1)
         simulation.submit("zone-a", NEIGHBOUR)
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -143,11 +143,11 @@
 
         self.run_scenario(scenario)
 
-    def test_a_heartbeat_waits_after_a_stand_still(self):
+    def test_a_heartbeat_waits_after_a_pause(self):
         # It made placers renew the leases of clients that had left meanwhile,
         # before their end was read.
         async def report_after_reading(link):
-            await trio.sleep(0.08)  # due while the process stands still
+            await trio.sleep(0.08)  # due while the process is paused
             await trio.sleep(0.02)
             link.post(messages.CancelJob("a", "caller left"))
 
