E810 tells how old and how long the leases of a start are; E837 the predecessor's age

Cause: a start beside a longer lease, one by a placer that knows no predecessor, and two placers of one zone look alike in the logs.

Change: unattended_ms and lease_left_ms in zone_run_started, predecessor_age_s in zone_state_inherited. No change of logic.

--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -336,6 +336,12 @@
             slack_ms=zonetables.milliseconds(
                 job.objective_at - job.estimate_s - now
             ),
+            unattended_ms=zonetables.milliseconds(
+                now - job.attended_until(now)
+            ),
+            lease_left_ms=zonetables.milliseconds(
+                max(0.0, *(run.server.lease_until - now for _, run in started))
+            ),
         )
 
     def _choose_server(
--- a/acacialine/predecessors.py
+++ b/acacialine/predecessors.py
@@ -19,11 +19,13 @@
         list_offset: Offset up to which the list of that placer was current.
         uninformed_at: When a placer was last heard, or succeeded here, whose
             list may have had servers that the local one lacked.
+        heard_at: When a placer was last heard.
     """
 
     epoch: int = 0
     list_offset: float = -1
     uninformed_at: float = -math.inf
+    heard_at: float = -math.inf
 
     def record_heartbeat(
         self, epoch: int, list_offset: int, removal_offset: int, now: float
@@ -36,6 +38,7 @@
             removal_offset: Offset at which the local list last lost a server.
             now: The current time.
         """
+        self.heard_at = now
         if epoch >= self.epoch:
             self.epoch, self.list_offset = epoch, list_offset
         if list_offset < removal_offset:
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -152,7 +152,11 @@
                 self.learned_state.knows(server, now)
                 for server in tables.servers.values()
             ),
-            age_s=round(now - self.learned_state.reported_at, 1)
-            if self.learned_state.reported_at > -math.inf
-            else "none",
+            age_s=_format_age(self.learned_state.reported_at, now),
+            predecessor_age_s=_format_age(self.predecessors.heard_at, now),
         )
+
+
+def _format_age(at: float, now: float) -> float | str:
+    """Returns the time since `at` for log lines; "none" if that never was."""
+    return round(now - at, 2) if at > -math.inf else "none"
