--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Crowds of clients load the machine, so they run alone, after all others.
 CROWD_TESTS := acacialine.tests.test_client_limits
 # Long tests under a virtual clock; they run beside those with processes.
-SIMULATED_TESTS := $(addprefix acacialine.tests.test_,contention core_properties \
+SIMULATED_TESTS := $(addprefix acacialine.tests.test_,combined_faults contention core_properties \
 	evacuation job_fates job_fates_properties kept_jobs load_peak lookahead losses \
 	lost_dispatchers placer placer_properties unanswered_orders)
 OTHER_TESTS := $(filter-out $(CROWD_TESTS) $(SIMULATED_TESTS),$(TESTS))
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -447,11 +447,16 @@
         while self.now < until - 1e-6:
             self.tick()
 
-    def submit(self, zone, job_id, left_s=4.0):
-        """Sends a job of one long task; its client tries three times."""
+    def submit(self, zone, job_id, left_s=4.0, length_s=2.5, latency_s=0.06):
+        """Sends a job of one task; its client tries three times."""
         self.target = zone
-        self.server_pool.job_length_s[job_id] = 2.5
-        job = build.submission(job_id, step=build.step(1), left_s=left_s)
+        self.server_pool.job_length_s[job_id] = length_s
+        job = build.submission(
+            job_id,
+            step=build.step(1),
+            left_s=left_s,
+            queue=build.queue(target_latency_s=latency_s),
+        )
         self.send_job(job, 3)
         return job
 
@@ -469,6 +474,11 @@
             lambda at: self._own(zone_name, former.epoch + 1, at),
         )
 
+    def lose_zone(self, zone_name):
+        """Kills all dispatchers of a zone; the next ones know nothing."""
+        self.lose_dispatcher(zone_name, False, True)
+        self.zones[zone_name].known_jobs = {}
+
     def leave_now(self, job):
         """Lets the client of a job leave."""
         intake = self.intakes[self.target]
@@ -480,12 +490,7 @@
 NEIGHBOUR = "00000000000000bb"
 
 
-class LostRunsTest(unittest.TestCase):
-    """Runs that live on while their job starts in another zone.
-
-    The client sends its job again 1.3 s after it left or its dispatcher died.
-    """
-
+class ScriptedTestCase(unittest.TestCase):
     def setUp(self):
         self.simulation = ScriptedSimulation()
 
@@ -495,6 +500,13 @@
         text = self.simulation.describe_violations()
         self.assertEqual(self.simulation.server_pool.violations, [], text)
 
+
+class LostRunsTest(ScriptedTestCase):
+    """Runs that live on while their job starts in another zone.
+
+    The client sends its job again 1.3 s after it left or its dispatcher died.
+    """
+
     def test_a_cancelled_run_whose_neighbour_renews_its_lease(self):
         simulation = self.simulation
         job = simulation.submit("zone-a", JOB)
