A task starts only where the leases end before its client can be back

Cause: a lease holds for all runs of a backend server and never shortens. A start carries a lease that counts from when its job was last attended, but on a server that was leased later for a neighbour the run gets the longer one. A job that had waited for 0.5 s, and whose dispatcher was lost meanwhile, ran for up to 1.5 s after that dispatcher was last heard; its client is back after 1.3 s.

The test test_a_job_that_starts_late_gets_the_lease_of_its_neighbour fails before.

Change: a task is placed only on servers whose leases, with those of orders that wait to be sent, end before the client can be back: 1.3 s after its job was last attended, less the margin of a renewal. The first response of a server counts as a lease, as an earlier placer may just have renewed it. Nobody has to end the run in time, so it holds whoever is lost or paused afterwards.

--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -13,6 +13,8 @@
 
 # Margin for the delay of the order or poll that renews a lease.
 RENEWAL_MARGIN_S = 0.08
+# Time after which clients of the platform send a job again that got no answer.
+RESUBMIT_S = 1.3
 # Time after which a run of an earlier owner is stopped unless a dispatcher
 # has handed over its job.
 ADOPTION_TIMEOUT_S = 0.25
@@ -30,9 +32,11 @@
 
     Attributes:
         length_s: Length of each lease; all owners use the same.
+        resubmit_s: Time after which clients send a job again, to any zone.
     """
 
     length_s: float = 1.0
+    resubmit_s: float = RESUBMIT_S
 
     @property
     def max_lease_s(self) -> float:
@@ -44,6 +48,15 @@
         """Time for which a lease lasts for certain after its request."""
         return self.length_s - RENEWAL_MARGIN_S
 
+    @property
+    def max_unattended_s(self) -> float:
+        """Time for which a run may go on after its job was last attended.
+
+        Its client is back after `resubmit_s`. Where leases are longer than that
+        they set the limit.
+        """
+        return max(self.resubmit_s - RENEWAL_MARGIN_S, self.max_lease_s)
+
     @property
     def superseded_owner_s(self) -> float:
         """Time after which all runs of an owner with a successor have ended.
@@ -120,6 +133,16 @@
     )
 
 
+def ends_by(server: zonetables.Server) -> float:
+    """Returns when the leases of a server end, with those not sent yet.
+
+    A lease holds for all runs of a server and never shortens, so a run that
+    starts there may last until then, whatever its own lease.
+    """
+    started = (run.not_after for run in server.runs.values())
+    return max(server.lease_until, server.unsent_lease_until, *started)
+
+
 def attended_until(server: zonetables.Server, now: float) -> float:
     """Returns from when a lease that a server gets now is to count.
 
--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -153,6 +153,12 @@
                 if choice is None:
                     if index in job.avoided_servers:
                         continue  # the others may start on that server
+                    client_back_at = self._client_back_at(job, now)
+                    if any(
+                        leases.ends_by(u.server) > client_back_at
+                        for u in usable
+                    ):
+                        break  # other jobs may start on these servers
                     self._record_unplaced(job, now)
                     unplaceable.append(
                         _UnplaceableDemand(job.queue.service, job.step)
@@ -278,6 +284,11 @@
             >= now + MIN_START_LEASE_S
         )
 
+    def _client_back_at(self, job: zonetables.Job, now: float) -> float:
+        """Returns when the client of a job may be back in another zone."""
+        max_unattended_s = self._runs.lease_times.max_unattended_s
+        return job.attended_until(now) + max_unattended_s
+
     def _is_suspect(self, job: zonetables.Job, index: int) -> bool:
         """Returns whether a task may have crashed a backend server.
 
@@ -368,6 +379,7 @@
         unanswered_id = job.unanswered_servers.get(index)
         by_fit = self._policy.look_ahead and now < self._contended_until
         best_score = None
+        client_back_at = self._client_back_at(job, now)
         for candidate in usable:
             if (
                 best is not None
@@ -389,6 +401,8 @@
                 continue  # the task failed or was not started there
             if not step.demand.fits(server.free):
                 continue
+            if leases.ends_by(server) > client_back_at:
+                continue  # a run that nobody attends would go on too long
             if step.label and step.label not in server.labels:
                 continue
             if (
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -313,6 +313,8 @@
                 self.observer.handle_poll_end(self.server, _poll_error(error))
 
         overdue_s = max(POLL_OVERDUE_S, self.response_times.timeout_s)
+        if lease is not None:
+            self.server.unsent_lease_until = lease.ends_by
         call = httppool_lib.Call(
             self._new_poll_request(lease, wait_s),
             wait_s + POLL_TIMEOUT_S,
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -342,6 +342,11 @@
             server.incarnation = poll_result.incarnation
             server.incarnation_seen_at = now
         self.outliers.record_response(server, now)
+        if not server.clock_at:
+            # An earlier owner may just have renewed its leases.
+            server.lease_until = max(
+                server.lease_until, now + self.lease_times.max_lease_s
+            )
         leases.observe_clock(server, poll_result.server_clock_ms, now)
         self.crashes.retract(server, now)
         for row in poll_result.ended:
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -229,6 +229,7 @@
         server_clock_ms: Its monotonic clock in its last poll response.
         clock_at: When that response arrived.
         lease_until: When the leases of all its runs have certainly expired.
+        unsent_lease_until: The same of the last poll, which may still wait.
         unclaimed_runs: Number of runs whose demand is unknown.
         isolated_runs: Number of runs that may not share it.
         has_crashed: Whether it is known to have crashed since its last
@@ -270,6 +271,7 @@
     server_clock_ms: int = 0
     clock_at: float = 0.0
     lease_until: float = 0.0
+    unsent_lease_until: float = 0.0
     unclaimed_runs: int = 0
     isolated_runs: int = 0
     has_crashed: bool = False
