What other zones know of a job counts only while their placers confirm notices

Cause: once the placers of all other zones had confirmed a notice of a running job, its leases were renewed for 2 s without a client. What they know is lost with the dispatchers of their zone; the next placer there knew nothing of the job and started it for its client, while the first zone, cut off, renewed the lease.

Change: a job counts as known up to the newest notice that the placers of all other zones have confirmed, dated by when it was sent. While jobs are known a notice is due each 0.2 s, without jobs if need be; it goes to the other zones only. A kept job counts by these notices as well, no longer by the word of its dispatcher. The certainty is of the past, as for dispatchers, so nobody has to withdraw it.

--- a/acacialine/fatesharing.py
+++ b/acacialine/fatesharing.py
@@ -55,7 +55,7 @@
         """Tells the candidates and the other zones of jobs that run here.
 
         Args:
-            job_ids: The jobs.
+            job_ids: The jobs; the other zones confirm an empty list as well.
             number: Number by which the other zones confirm it.
         """
         zone = self._dispatcher.zone
@@ -66,7 +66,7 @@
             (True, self._links_to_candidates()),
             (False, self._links_to_other_placers()),
         ):
-            if to_links:
+            if to_links and (job_ids or not is_relayed):
                 message = jobfates.new_open_jobs_message(
                     job_ids, zone, is_relayed, 0 if is_relayed else number
                 )
--- a/acacialine/jobnotices.py
+++ b/acacialine/jobnotices.py
@@ -20,6 +20,8 @@
 OPEN_JOB_AGE_S = 0.1
 OPEN_JOB_REPEAT_S = 1.0  # below `placer.KEPT_JOB_S`, for which they know of it
 OPEN_JOBS_INTERVAL_S = 0.1
+# While others know of jobs, they are asked at this interval whether they live.
+PROBE_INTERVAL_S = 0.2
 # For how long after a notice the other zones certainly know of its jobs, less
 # the longest lease.
 KNOWN_JOB_S = 2.0
@@ -66,6 +68,7 @@
     _emit: collections.abc.Callable[[orders_lib.Order], None]
     other_zones: frozenset[str] | None = None
     _open_jobs_shared_at: float = -1e9
+    _sent_at: float = -1e9
     _last_number: int = 0
     _unconfirmed: dict[int, OpenJobsNotice] = attrs.field(factory=dict)
 
@@ -130,10 +133,22 @@
             ):
                 job.shared_at = now
                 due.append(job.id)
-        if due:
+        if due or self._must_probe(now):
             self._send_open_jobs(tuple(due), now)
 
+    def _must_probe(self, now: float) -> bool:
+        """Returns whether to send a notice without jobs, for its confirmation.
+
+        What the other zones know lasts as long as their placers.
+        """
+        return (
+            bool(self.other_zones)
+            and now - self._sent_at >= PROBE_INTERVAL_S
+            and any(now < j.known_until for j in self._tables.jobs.values())
+        )
+
     def _send_open_jobs(self, job_ids: tuple[str, ...], now: float) -> None:
+        self._sent_at = now
         self._last_number += 1
         self._emit(orders_lib.ShareOpenJobs(job_ids, self._last_number))
         self._drop_expired(now)
@@ -152,6 +167,8 @@
         """
         notice = self._unconfirmed.get(number)
         if notice is not None:
+            heard_at = self._tables.zones_heard_at
+            heard_at[zone] = max(heard_at.get(zone, -1e9), notice.sent_at)
             notice.unconfirmed_zones.discard(zone)
             self._record_if_confirmed(number)
 
@@ -177,6 +194,7 @@
         """Replaces the other zones; a new one knows of no job."""
         if other_zones != self.other_zones:
             self.other_zones = other_zones
+            self._tables.zones_heard_at.clear()
             self.handle_new_placer()
 
     def handle_new_placer(self) -> None:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -273,6 +273,7 @@
             known_since=arrived_at,
             config_version=submission.config_version,
             origins_heard_at=self.tables.origins_heard_at,
+            zones_heard_at=self.tables.zones_heard_at,
         )
         job.waiting.extend(range(submission.step.count))
         if ended_job:
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -173,7 +173,7 @@
     def share_open_jobs(self, owner, job_ids, number):
         told = [
             set(self.share_with_all_zones(owner, job_id)) for job_id in job_ids
-        ]
+        ] or [set(self.zones_told(owner))]
         for zone in set.intersection(*told):
             self.at(
                 self.now + 2 * SHARE_DELAY_S,
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -9,6 +9,7 @@
 
 import collections
 import enum
+import math
 
 import attrs
 
@@ -344,14 +345,16 @@
             with any can no longer be refused as not run.
         orphaned_at: When its last origin was lost or had answered its clients.
         origins_heard_at: See `ZoneTables`; shared by all jobs.
+        zones_heard_at: See `ZoneTables`; shared by all jobs.
         heard_until: When a dispatcher last submitted it; without origins until
             when the last one is known to have waited for it.
         keeper: Session of the dispatcher that keeps it for a retry of its
             client; None if none does.
         kept_until: Until when it may run past its deadline, as all zones know
             of it.
-        known_until: Until when all zones certainly know of it, less the longest
-            lease.
+        known_until: Until when the other zones keep what they know of it, less
+            the longest lease; those of their dispatchers that know of it may be
+            lost before.
         config_version: Version of the configuration that set `queue`.
         shared_at: When the other zones were last told that it runs here.
         client_zone: Zone of the dispatcher that submitted it; empty if unknown.
@@ -390,6 +393,7 @@
     first_start_at: float | None = None
     orphaned_at: float = 0.0
     origins_heard_at: dict = attrs.field(factory=dict)
+    zones_heard_at: dict[str, float] = attrs.field(factory=dict)
     heard_until: float = 0.0
     keeper: object = None
     kept_until: float = 0.0
@@ -424,8 +428,10 @@
         Until then a client waits for its answer, or all zones know of it. Later
         its client may be about to send it to a zone that does not.
         """
-        heard_until = self._heard_until(now)
-        return min(now, max(heard_until, self.kept_until, self.known_until))
+        known_until = min(
+            self.known_until, *self.zones_heard_at.values(), math.inf
+        )
+        return min(now, max(self._heard_until(now), known_until))
 
     def _heard_until(self, now: float) -> float:
         """Returns until when a dispatcher is known to have waited for it."""
@@ -522,6 +528,8 @@
         fates: How recent jobs of all zones ended.
         origins_heard_at: Latest time at which a dispatcher certainly lived, by
             its session. One that is missing counts as alive.
+        zones_heard_at: Latest time at which the placer of another zone, which
+            has confirmed notices, certainly lived, by zone.
     """
 
     zone: str
@@ -539,6 +547,7 @@
     is_list_known: bool = True
     fates: jobfates.JobFates = attrs.field(factory=jobfates.JobFates)
     origins_heard_at: dict = attrs.field(factory=dict)
+    zones_heard_at: dict[str, float] = attrs.field(factory=dict)
 
     def add_run(self, run: Run) -> None:
         """Adds a run and occupies the capacity that it demands."""
