A placer that nobody told of earlier jobs starts new ones only after their leases

Cause: a placer that is lost together with all candidates of its zone (four in a large zone) is succeeded by a dispatcher that was never told of its jobs. It took a job whose client was back for a new one and started it, while a run of the predecessor was alive on a server that had not answered its first poll, or in another zone that had been told that this one knows of the job.

Change: the placer tells a dispatcher of its zone of all running jobs when it opens a link to it, and the heartbeats on that link date what it has told. Jobs that a dispatcher hands over go on as before. Without a claim in the store there was no earlier placer, so the first one of an installation serves at once.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -458,6 +458,9 @@
         if self.placer_host is None:
             return
         self.log(events.Event.ZONE_RESIGNED, reason=reason)
+        self.zone_handover.predecessors.record_briefing(
+            self.placer_host.epoch, clock.now()
+        )
         self.placer_host.close()
         self.placer_host = None
         self.fate_sharing.handle_resignation(clock.now())
@@ -669,6 +672,10 @@
                     self.placer_host.record_heard(session.outbox)
                 session.zone = message.zone
                 self._receive_zone_state(message)
+                if message.claim and message.zone == self.zone:
+                    self.zone_handover.predecessors.record_briefing(
+                        message.claim, clock.now()
+                    )
                 if (
                     self.evacuation_relay.state.zones
                     and not session.knows_evacuations
--- a/acacialine/fatesharing.py
+++ b/acacialine/fatesharing.py
@@ -129,6 +129,8 @@
         )
         if is_informed and link.heartbeat.zone == dispatcher.zone:
             self._post([link], self.fates.all_fates(), True)
+            for message in dispatcher.job_sharing.new_messages():
+                _post_to_all([link], message)
 
     def receive(self, message: messages.EndedJobs) -> bool:
         """Records what a placer tells; relays it to the candidates.
--- a/acacialine/jobsharing.py
+++ b/acacialine/jobsharing.py
@@ -4,9 +4,12 @@
 placer, so both must know where runs of a job may go on.
 """
 
+import collections
+
 import attrs
 
 from acacialine import clock
+from acacialine import jobfates
 from acacialine import losses as losses_lib
 from acacialine import messages
 from acacialine import peering
@@ -83,6 +86,18 @@
             now,
         )
 
+    def new_messages(self) -> list[messages.EndedJobs]:
+        """Returns the messages that tell a candidate of all known jobs."""
+        zonetables.drop_expired_remote_jobs(self.remote_jobs, clock.now())
+        ids_by_zone = collections.defaultdict(list)
+        for job_id, remote in self.remote_jobs.items():
+            for zone in remote.ends_by_zone:
+                ids_by_zone[zone].append(job_id)
+        return [
+            jobfates.new_open_jobs_message(job_ids, zone, True)
+            for zone, job_ids in ids_by_zone.items()
+        ]
+
     def receive_kept_job(self, message: messages.JobKept) -> None:
         """Records where a job may run, here and at the other candidates."""
         self.record_remote_job(message.job_id, message.zone)
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -93,6 +93,8 @@
         last_start_at: Until when jobs of which a task may have started go on
             starting tasks, while the zone is evacuated; None if it is not.
         new_jobs_wait_until: Jobs that arrive before start no task before.
+        knows_jobs: Whether it was told of the jobs of earlier owners.
+        unknown_jobs_until: Until when runs of others may go on.
     """
 
     tables: zonetables.ZoneTables
@@ -106,6 +108,8 @@
     obeyed_since: float = attrs.field(init=False)
     last_start_at: float | None = None
     new_jobs_wait_until: float = -1e9
+    knows_jobs: bool = True
+    unknown_jobs_until: float = -1e9
     shares: fairshare.FairShares = attrs.field(init=False)
     returns: retries.Returns = attrs.field(factory=retries.Returns)
     _starter: placement.TaskStarter = attrs.field(init=False)
@@ -213,6 +217,8 @@
         if self.policy.priority_first:
             job.priority_rank = job.queue.priority
         job.not_before = self.new_jobs_wait_until
+        if not submission.handovers:
+            job.not_before = max(job.not_before, self.unknown_jobs_until)
         if remote is not None:
             job.known_since = min(job.known_since, remote.known_since)
         if other_zone is not None:
@@ -667,6 +673,15 @@
         self.tables.counters["abandoned"] += 1
         self._end_job(job, None, "deadline", now)
 
+    def assume_unknown_jobs(self, now: float) -> None:
+        """Assumes runs of jobs that an earlier owner had and this one lacks.
+
+        A job that no dispatcher hands over may be one of them, which its client
+        has sent again, so it waits until their leases have ended.
+        """
+        self.knows_jobs = False
+        self.unknown_jobs_until = now + self.lease_times.superseded_owner_s
+
     def record_first_list(self, now: float) -> None:
         """Records that the list of servers was first read after the takeover.
 
@@ -674,7 +689,11 @@
         had heard of this one.
         """
         self.obeyed_since = now
+        if not self.knows_jobs:
+            self.assume_unknown_jobs(now)
         for job in self.tables.jobs.values():
+            if not job.possible_starts:
+                job.not_before = max(job.not_before, self.unknown_jobs_until)
             if job.hold_until:
                 job.hold_until = now + self.runs.lease_times.superseded_owner_s
 
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -40,6 +40,7 @@
     Attributes:
         configuration: The configuration in force; its version only increases.
         directory: Records of all dispatchers.
+        is_directory_read: Whether these were read from the store.
         is_store_down: Whether the last call to the store failed.
         servers_read_at: When the list of backend servers was last requested
             and then read.
@@ -58,6 +59,7 @@
         factory=directory_lib.Directory
     )
     is_store_down: bool = False
+    is_directory_read: bool = False
     servers_read_at: float = -1e9
     server_removed_at: float = -1e9
     first_listed_at: float = -1e9
@@ -399,6 +401,7 @@
         )
         offset = latest.next_offset
         self._apply_directory(latest.records)
+        self.is_directory_read = True
         while True:
             self._note_store_success()
             self._write_requested = trio.Event()
--- a/acacialine/tests/test_dispatcher.py
+++ b/acacialine/tests/test_dispatcher.py
@@ -100,6 +100,34 @@
         )
         self.assertEqual(self.links["zone-b"].posted, [])
 
+    def test_a_candidate_that_is_linked_later_knows_the_running_jobs(self):
+        self.dispatcher.placer_host = placerhost.PlacerHost(build.placer(), 1)
+        self.dispatcher.job_sharing.record_remote_job(JOB, "zone-b")
+        for link in self.links.values():
+            self.dispatcher.fate_sharing.handle_new_link(link)
+        (message,) = self.links["zone-a"].posted
+        self.assertEqual(message.zone, "zone-b")
+        self.assertEqual(jobfates.decode_open_jobs(message), [JOB])
+        self.assertEqual(self.links["zone-b"].posted, [])
+
+    def test_a_placer_that_nobody_told_of_jobs_assumes_unknown_ones(self):
+        handover = self.dispatcher.zone_handover
+        ownership = self.dispatcher.ownership
+        host = placerhost.PlacerHost(build.placer(), 7)
+        for superseded_epoch, is_read, knows_jobs in (
+            (0, False, False),  # an earlier placer may be in the store
+            (0, True, True),
+            (5, True, False),
+            (5, True, True),
+        ):
+            ownership.superseded_epoch = superseded_epoch
+            self.dispatcher.store_reader.is_directory_read = is_read
+            if superseded_epoch and knows_jobs:
+                handover.predecessors.record_briefing(5, clock.now())
+            host.placer.knows_jobs = True
+            handover.begin_ownership(host, clock.now())
+            self.assertEqual(host.placer.knows_jobs, knows_jobs)
+
     def test_a_new_placer_learns_what_clients_cancelled_in_any_zone(self):
         # A zone whose dispatchers were restarted in turn, without a moment in
         # which two of them were linked, forgot cancelled jobs (review/10).
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -30,12 +30,17 @@
 
 
 class Zone:
-    """A zone: its placer, and what the candidates to succeed it know."""
+    """A zone: its placer, and what the candidates to succeed it know.
+
+    Attributes:
+        has_candidate: Whether one knew the placer that was lost.
+    """
 
     def __init__(self, owner):
         self.owner = owner
         self.known_jobs = {}
         self.known_losses = {}
+        self.has_candidate = True
 
 
 class Link:
@@ -255,6 +260,9 @@
         zone = self.zones[zone_name]
         owner = self._new_owner(zone_name, epoch, now)
         owner.placer.tables.remote_jobs.update(zone.known_jobs)
+        if not zone.has_candidate:
+            owner.placer.assume_unknown_jobs(now)
+        zone.has_candidate = True
         for (job_id, index), known in zone.known_losses.items():
             owner.placer.tables.losses.merge(job_id, index, known, now)
         if self.random.random() < 0.5:
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -269,7 +269,7 @@
         former.is_closed = True
         zone.owner = None
         if self.random.random() < 0.5:
-            zone.known_jobs = {}  # no other candidate knew them
+            self.lose_candidates(zone_name)
         for link in self.links.values():
             if link.zone == zone_name:
                 link.generation += 1
@@ -278,6 +278,11 @@
             lambda at: self._own(zone_name, former.epoch + 1, at),
         )
 
+    def lose_candidates(self, zone_name):
+        """Loses all dispatchers that know the jobs of a zone."""
+        self.zones[zone_name].known_jobs = {}
+        self.zones[zone_name].has_candidate = False
+
     def take_over(self, zone_name):
         self.note_zone(f"placer of {zone_name} is killed or paused")
         super().take_over(zone_name)
@@ -477,7 +482,7 @@
     def lose_zone(self, zone_name):
         """Kills all dispatchers of a zone; the next ones know nothing."""
         self.lose_dispatcher(zone_name, False, True)
-        self.zones[zone_name].known_jobs = {}
+        self.lose_candidates(zone_name)
 
     def leave_now(self, job):
         """Lets the client of a job leave."""
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -849,6 +849,20 @@
         placer.tick(HOLD_S + 0.03)
         self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
+    def test_a_job_waits_or_is_refused_while_others_may_run_unknown(self):
+        placer = build.placer()
+        placer.assume_unknown_jobs(0.0)
+        new_orders = self.submit(placer, 0.1)
+        (answer,) = build.answers(new_orders)
+        self.assertEqual(answer.reason, "overloaded")
+        patient = build.queue(target_latency_s=9.0)
+        new_orders = self.submit(placer, 0.1, queue=patient, left_s=3.0)
+        self.assertEqual(build.starts(new_orders), [])
+        placer.tick(HOLD_S - 0.03)
+        self.assertEqual(build.starts(placer.take_orders()), [])
+        placer.tick(HOLD_S + 0.03)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
     def test_a_handed_over_job_starts_once_all_servers_are_listed(self):
         # Seen in owners-die (our own test day): such jobs waited 1.1 s for
         # leases to lapse, although all servers were listed after 15 ms.
--- a/acacialine/zoneadmission.py
+++ b/acacialine/zoneadmission.py
@@ -64,6 +64,8 @@
         if not servers:
             # The list of servers is still unread; the job waits for it.
             return Decision("", forecast)
+        if now < job.not_before and self._ends_late(job, job.not_before):
+            return Decision("overloaded", forecast)
         if not all(server.runs_listed for server in servers):
             # Free capacity is unknown right after a takeover.
             return Decision("", forecast)
@@ -74,6 +76,11 @@
         reason = self._refusal_reason(job, forecast, is_spilled)
         return Decision(reason, forecast)
 
+    def _ends_late(self, job: zonetables.Job, start: float) -> bool:
+        """Returns whether a job that starts then ends too late."""
+        latest_end = self.latest_end(job, self.queue_fullness(job.debt_step))
+        return start + job.estimate_s > min(latest_end, job.deadline_at)
+
     def new_forecast(
         self, job: zonetables.Job, now: float
     ) -> schedule.Forecast:
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -16,6 +16,8 @@
 from acacialine import predecessors as predecessors_lib
 
 REPORT_INTERVAL_S = 1.0
+# For the ticks in which a dispatcher decides to claim its zone.
+CLAIM_MARGIN_S = 0.4
 # Shortest time between two lists of servers to the same candidate.
 LIST_INTERVAL_S = 1.0
 
@@ -144,9 +146,13 @@
         )
         if not knows_servers:
             host.placer.runs.assume_unknown_servers(now)
+        knows_jobs = self._knows_jobs(now)
+        if not knows_jobs:
+            host.placer.assume_unknown_jobs(now)
         self._dispatcher.log(
             events.Event.ZONE_STATE_INHERITED,
             knows_servers=int(knows_servers),
+            knows_jobs=int(knows_jobs),
             servers=len(tables.servers),
             known=sum(
                 self.learned_state.knows(server, now)
@@ -156,6 +162,21 @@
             predecessor_age_s=_format_age(self.predecessors.heard_at, now),
         )
 
+    def _knows_jobs(self, now: float) -> bool:
+        """Returns whether a new placer here knows the jobs of earlier ones."""
+        ownership = self._dispatcher.ownership
+        last_epoch = max(ownership.superseded_epoch, ownership.stored_claim[0])
+        if not last_epoch:
+            # Without a claim in the store there was no earlier placer.
+            return self._dispatcher.store_reader.is_directory_read
+        # A successor may claim the zone so long after the last heartbeat.
+        claim_s = (
+            ownership_lib.ISOLATED_WAIT_S
+            + ownership.heartbeat_timeout_s
+            + CLAIM_MARGIN_S
+        )
+        return self.predecessors.knows_jobs(last_epoch, now, claim_s)
+
 
 def _format_age(at: float, now: float) -> float | str:
     """Returns the time since `at` for log lines; "none" if that never was."""
