A job of a lost placer goes back to no placer of an earlier claim

A placer lists its servers and is superseded, which it does not notice while it is idle, as it polls no server without runs. The newer placer starts a job and steps down before it has reached each server. The dispatcher of the job hands it back to the earlier one, the best that it knows. That one still counts all runs as known from its list and starts the job on a server that the newer one had not reached.

Change: until the leases of the lost placer have ended, its job goes only to a placer whose claim is not earlier, also after its client has left and come back. What is known of a lost placer is one record now.

--- a/acacialine/intake.py
+++ b/acacialine/intake.py
@@ -75,6 +75,20 @@
     reported_at: float
 
 
+@attrs.frozen
+class LostPlacer:
+    """A placer that was lost and whose runs of a job may continue.
+
+    Attributes:
+        epoch: Epoch of its claim; 0 if it is not known.
+        lost_at: When it was lost.
+    """
+
+    zone: str
+    epoch: int
+    lost_at: float
+
+
 @attrs.define(eq=False)
 class Request:
     """One job that clients of this dispatcher wait for.
@@ -84,10 +98,8 @@
             age, remaining time and handovers.
         callbacks: Called once with the answer, one for each waiting client.
         placer: The placer that has it now; None if none has.
-        placer_lost_at: When its last placer was lost or redirected it; None
-            if neither happened.
-        placer_lost_zone: The zone of that placer, or the one that may still
-            run the job.
+        lost_placer: The last placer that was lost, or the one to which it was
+            redirected; None if neither happened.
         handovers: How many earlier placers may have started tasks of it.
         was_spilled: Whether it was sent to another zone for lack of slots.
         not_before: Earliest time of the next handover.
@@ -101,8 +113,7 @@
     deadline_at: float
     callbacks: list[collections.abc.Callable[[Answer], None]]
     placer: PlacerInfo | None = None
-    placer_lost_at: float | None = None
-    placer_lost_zone: str = ""
+    lost_placer: LostPlacer | None = None
     handovers: int = 0
     was_spilled: bool = False
     not_before: float = 0.0
@@ -140,19 +151,6 @@
     cancelled_at: float
 
 
-@attrs.frozen
-class UnsettledJob:
-    """A job without a request whose runs may continue, as its placer was lost.
-
-    Attributes:
-        zone: The zone of that placer.
-        lost_at: When it was lost.
-    """
-
-    zone: str
-    lost_at: float
-
-
 @attrs.frozen
 class HandOverJob:
     """Order to send a job to a placer."""
@@ -247,7 +245,7 @@
     _orders: list = attrs.field(factory=list)
     _kept_jobs: dict[str, KeptJob] = attrs.field(factory=dict)
     _cancelled_jobs: dict[str, CancelledJob] = attrs.field(factory=dict)
-    _unsettled_jobs: dict[str, UnsettledJob] = attrs.field(factory=dict)
+    _unsettled_jobs: dict[str, LostPlacer] = attrs.field(factory=dict)
     _spilled_tasks: dict[str, int] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self):
@@ -308,8 +306,7 @@
         unsettled = self._unsettled_jobs.pop(submission.job_id, None)
         if unsettled is not None:
             request.handovers = 1
-            request.placer_lost_at = unsettled.lost_at
-            request.placer_lost_zone = unsettled.zone
+            request.lost_placer = unsettled
 
     def _follow_newer_queue(
         self, request: Request, submission: placer_lib.Submission, now: float
@@ -457,7 +454,8 @@
                 del self._cancelled_jobs[job_id]
             elif not is_same_placer(placer, placers.get(placer.zone)):
                 del self._cancelled_jobs[job_id]
-                self._record_unsettled(job_id, placer.zone, now)
+                lost = LostPlacer(placer.zone, placer.epoch, now)
+                self._record_unsettled(job_id, lost)
         for job_id, unsettled in list(self._unsettled_jobs.items()):
             if now - unsettled.lost_at > self.lease_times.lost_owner_s:
                 del self._unsettled_jobs[job_id]
@@ -471,21 +469,21 @@
 
     def _record_if_unsettled(self, request: Request) -> None:
         """Records the job of an ended request that no placer has."""
-        if request.placer is None and request.placer_lost_at is not None:
+        if request.placer is None and request.lost_placer is not None:
             self._record_unsettled(
-                request.submission.job_id,
-                request.placer_lost_zone,
-                request.placer_lost_at,
+                request.submission.job_id, request.lost_placer
             )
 
-    def _record_unsettled(self, job_id: str, zone: str, lost_at: float) -> None:
+    def _record_unsettled(self, job_id: str, lost: LostPlacer) -> None:
         """Tells all placers where runs of a job may continue.
 
         Its client may send it again to any of them.
         """
-        self._unsettled_jobs[job_id] = UnsettledJob(zone, lost_at)
+        self._unsettled_jobs[job_id] = lost
         for placer in self.placers.values():
-            self._orders.append(AnnounceKeptJob(placer.peer_id, job_id, zone))
+            self._orders.append(
+                AnnounceKeptJob(placer.peer_id, job_id, lost.zone)
+            )
 
     def _record_placer_loss(self, request: Request, now: float) -> None:
         """Separates a request from a placer that may have started its tasks."""
@@ -502,8 +500,7 @@
         )
         request.placer = None
         request.handovers += 1
-        request.placer_lost_at = now
-        request.placer_lost_zone = lost.zone
+        request.lost_placer = LostPlacer(lost.zone, lost.epoch, now)
 
     def tick(self, now: float) -> None:
         """Answers expired requests and hands over those without a placer.
@@ -623,9 +620,9 @@
         suitable.
         """
         local = self.placers.get(self.zone)
+        lost = request.lost_placer
         any_zone_allowed = (
-            request.placer_lost_at is None
-            or now - request.placer_lost_at > self.lease_times.lost_owner_s
+            lost is None or now - lost.lost_at > self.lease_times.lost_owner_s
         )
         if any_zone_allowed:
             if self._is_evacuated(request, self.zone):
@@ -638,8 +635,10 @@
                 if other is not None:
                     self._hand_over_to(request, other, now)
             return
-        successor = self.placers.get(request.placer_lost_zone)
-        if successor is not None:
+        successor = self.placers.get(lost.zone)
+        # A placer of an earlier epoch may have listed the servers before the
+        # lost one started tasks there.
+        if successor is not None and successor.epoch >= lost.epoch:
             self._hand_over_to(request, successor, now)
 
     def _demand(
@@ -873,8 +872,7 @@
         )
         request.placer = None
         request.handovers += 1
-        request.placer_lost_at = now
-        request.placer_lost_zone = zone
+        request.lost_placer = LostPlacer(zone, 0, now)
         self._hand_over(request, now)
 
     def _handle_not_run(
--- a/acacialine/tests/test_intake.py
+++ b/acacialine/tests/test_intake.py
@@ -121,6 +121,16 @@
         self.assertEqual(order.placer.peer_id, "p2")
         self.assertEqual(order.submission.handovers, 1)
 
+    def test_a_job_of_a_lost_placer_goes_to_no_placer_of_an_earlier_epoch(self):
+        self.set_placers(0.0, placer("p2", epoch=2))
+        self.receive()
+        self.assertEqual(self.receive_verdict("p2", "resigned"), [])
+        self.set_placers(0.2, placer("p1", epoch=1))
+        self.assertEqual(self.tick(0.2), [])
+        self.set_placers(0.3, placer("p3", epoch=3))
+        (order,) = self.tick(0.3)
+        self.assertEqual(order.placer.peer_id, "p3")
+
     def test_a_resigned_placer_counts_as_lost(self):
         # Guards against a second placer that treats the job as never started
         # and refuses it with 429 while a run of it continues (Baekdu
--- /dev/null
+++ b/acacialine/tests/test_superseded_placers.py
@@ -0,0 +1,106 @@
+"""Jobs that pass between placers of one zone, of which each believes to own it.
+
+Dispatchers that start together may claim their zone one after the other.
+"""
+
+import math
+import unittest
+
+from acacialine import intake as intake_lib
+from acacialine.tests import zonebuilders as build
+from acacialine.tests import zonesimulation
+
+JOB = "00000000000000aa"
+TICK_S = 0.01
+
+
+class Owner(zonesimulation.Owner):
+    """A placer that, as its host, polls no backend server without runs."""
+
+    def tick(self, now):
+        for server in self.placer.tables.servers.values():
+            is_idle = (
+                server.runs_listed
+                and not server.runs
+                and not server.must_acknowledge
+            )
+            if is_idle:
+                self.next_poll[server.id] = math.inf
+            elif self.next_poll.get(server.id) == math.inf:
+                self.next_poll[server.id] = now
+        super().tick(now)
+
+
+class Simulation(zonesimulation.Network):
+    """One dispatcher with an intake, and placers by the ids of their hosts."""
+
+    def __init__(self):
+        super().__init__(1, 0.0)
+        self.server_pool.add("i-0", 16000)
+        self.server_pool.add("i-1", 16000)
+        self.server_pool.job_length_s[JOB] = 0.9
+        self.intake = intake_lib.Intake("zone-a")
+        self.owners = {}
+
+    def own(self, placer_id, epoch):
+        self.owners[placer_id] = Owner(self, epoch, self.now)
+        return self.owners[placer_id]
+
+    def answer(self, owner, order):
+        """The dispatcher hears of no verdict but those of the script."""
+
+    def hand_over_fenced(self, owner):
+        """The dispatcher hears that a placer is fenced from the script."""
+
+    def share(self, owner, job_id):
+        """No other dispatcher is told of a job."""
+
+    def share_with_all_zones(self, owner, job_id):
+        """There is no other zone."""
+        return []
+
+    def run(self, seconds, placer_id):
+        """Runs while the dispatcher knows one placer."""
+        until = self.now + seconds
+        owner = self.owners[placer_id]
+        info = intake_lib.PlacerInfo(
+            placer_id, "zone-a", owner.epoch, 4, self.now
+        )
+        while self.now < until:
+            self.intake.update_placers({"zone-a": info}, self.now)
+            self.intake.tick(self.now)
+            for order in self.intake.take_orders():
+                if isinstance(order, intake_lib.HandOverJob):
+                    self.owners[order.placer.peer_id].placer.submit(
+                        order.submission, "session", self.now
+                    )
+            for each in self.owners.values():
+                each.tick(self.now)
+            self.advance(TICK_S)
+
+    def resign(self, placer_id):
+        self.owners[placer_id].is_closed = True
+        self.intake.receive_verdict(
+            placer_id, JOB, "resigned", "", 0.0, self.now
+        )
+
+
+class SupersededPlacersTest(unittest.TestCase):
+    def test_a_job_does_not_return_to_a_placer_that_was_superseded(self):
+        simulation = Simulation()
+        simulation.own("first", 1)
+        simulation.run(0.1, "first")
+        second = simulation.own("second", 2)
+        second.unreachable_until["i-0"] = 3.0
+        simulation.intake.receive(
+            build.submission(job_id=JOB), lambda answer: None, simulation.now
+        )
+        simulation.run(0.1, "second")
+        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        simulation.resign("second")
+        simulation.run(0.5, "first")
+        self.assertEqual(simulation.server_pool.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
