A job that waits for leases to end keeps its place in the order

Beside a lease on any server of any service, a more urgent job without room was not recorded as blocked, so that a smaller one took the room it waited for, and each of 200 equal jobs was tried on all servers in a tick.

Cause: the check whether leases kept a task from a server looked at all servers, and left the tick without the records of a task that can't start.

Change: a server counts as left out because of its leases only after all other checks. The job is recorded as blocked, and the demand as unplaceable for jobs whose clients can be back at that time or before.

Result: test_a_lease_of_another_service_keeps_no_reservation_away and test_jobs_that_wait_for_leases_to_end_are_not_tried_one_by_one fail before and pass.

--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import math
 
 import attrs
 
@@ -58,15 +59,27 @@
 
 @attrs.frozen
 class _UnplaceableDemand:
-    """A task size that no backend server can take in the current tick."""
+    """A task size that no backend server can take in the current tick.
+
+    Attributes:
+        client_back_at: When the client of its job may be back, if only leases
+            that end later kept it from a server; else infinite.
+    """
 
     service: str
     step: zonetables.Step
+    client_back_at: float
 
-    def excludes(self, job: zonetables.Job) -> bool:
-        """Returns whether the tasks of a job can't be placed either."""
+    def excludes(self, job: zonetables.Job, client_back_at: float) -> bool:
+        """Returns whether the tasks of a job can't be placed either.
+
+        Args:
+            job: The job.
+            client_back_at: When its client may be back.
+        """
         return (
             job.queue.service == self.service
+            and client_back_at <= self.client_back_at
             and job.step.label == self.step.label
             and self.step.demand.fits(job.step.demand)
         )
@@ -94,6 +107,8 @@
     _reservation: lookahead.Reservation | None = None
     _reserved_job_id: str = ""
     _contended_until: float = -1e9
+    # Whether a server was left out last because of its leases only.
+    _is_lease_limited: bool = False
     is_cut_short: bool = False
 
     def start_tasks(self, suspect_origins: set, now: float) -> None:
@@ -134,7 +149,8 @@
         for job in schedule.sort_by_urgency(waiting, now):
             if not starts_left:
                 break
-            if any(d.excludes(job) for d in unplaceable):
+            client_back_at = self._client_back_at(job, now)
+            if any(d.excludes(job, client_back_at) for d in unplaceable):
                 continue
             started = []
             for index in list(job.waiting):
@@ -153,15 +169,15 @@
                 if choice is None:
                     if index in job.avoided_servers:
                         continue  # the others may start on that server
-                    client_back_at = self._client_back_at(job, now)
-                    if any(
-                        leases.ends_by(u.server) > client_back_at
-                        for u in usable
-                    ):
-                        break  # other jobs may start on these servers
                     self._record_unplaced(job, now)
                     unplaceable.append(
-                        _UnplaceableDemand(job.queue.service, job.step)
+                        _UnplaceableDemand(
+                            job.queue.service,
+                            job.step,
+                            client_back_at
+                            if self._is_lease_limited
+                            else math.inf,
+                        )
                     )
                     break
                 if (
@@ -380,6 +396,7 @@
         by_fit = self._policy.look_ahead and now < self._contended_until
         best_score = None
         client_back_at = self._client_back_at(job, now)
+        self._is_lease_limited = False
         for candidate in usable:
             if (
                 best is not None
@@ -401,10 +418,12 @@
                 continue  # the task failed or was not started there
             if not step.demand.fits(server.free):
                 continue
-            if leases.ends_by(server) > client_back_at:
-                continue  # a run that nobody attends would go on too long
             if step.label and step.label not in server.labels:
                 continue
+            if leases.ends_by(server) > client_back_at:
+                # A run that nobody attends would go on too long.
+                self._is_lease_limited = True
+                continue
             if (
                 self._policy.look_ahead
                 and self._blocked_job is not None
--- a/acacialine/tests/test_lookahead.py
+++ b/acacialine/tests/test_lookahead.py
@@ -1,6 +1,7 @@
 """The forecast by sizes and speeds, on small zones."""
 
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -206,6 +207,49 @@
             [],
         )
 
+    def stale_job(self, placer, job_id):
+        """Adds a job whose dispatcher was last heard at 0.05."""
+        waiting_job(
+            placer,
+            job_id,
+            step=build.step(1, 12000, 0.1),
+            queue=build.queue(target_latency_s=1.0),
+        )
+        job = placer.tables.jobs[job_id]
+        job.origins_heard_at = dict.fromkeys(job.origins, 0.05)
+
+    def test_a_lease_of_another_service_keeps_no_reservation_away(self):
+        for lease_until in (1.0, 1.31):
+            placer = self.placer(
+                build.server("i-1"), build.server("i-2", service="other")
+            )
+            placer.tables.servers["i-2"].lease_until = lease_until
+            self.start(placer, "aa", build.step(1, 8000, 0.5))
+            self.stale_job(placer, "bb")
+            started = self.start(
+                placer,
+                "cc",
+                build.step(1, 6000, 0.8),
+                now=0.3,
+                target_latency_s=2.0,
+            )
+            self.assertEqual(started, [])
+
+    def test_jobs_that_wait_for_leases_to_end_are_not_tried_one_by_one(self):
+        placer = self.placer(build.server("i-1"))
+        placer.tables.servers["i-1"].lease_until = 1.31
+        for number in range(200):
+            self.stale_job(placer, f"{number:016x}")
+        starter = type(placer._starter)
+        with mock.patch.object(
+            starter,
+            "_choose_server",
+            autospec=True,
+            side_effect=starter._choose_server,
+        ) as choose:
+            placer.tick(0.3)
+        self.assertEqual(choose.call_count, 1)
+
     def test_a_task_that_fits_beside_the_reserved_one_starts(self):
         placer = self.placer(build.server("i-1"))
         self.start(placer, "aa", build.step(1, 8000, 0.1))
