Retry-After of a job that is refused for a wait covers that wait

A placer that may lack jobs refused what would end too late and told the client to return after 1 s, within the 1.6 s of the wait.

Change: the forecast of the refusal ends after the wait; Retry-After is computed from it.

Result: test_a_job_waits_or_is_refused_while_others_may_run_unknown asks for it, and fails before.

--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -855,6 +855,7 @@
         new_orders = self.submit(placer, 0.1)
         (answer,) = build.answers(new_orders)
         self.assertEqual(answer.reason, "overloaded")
+        self.assertGreaterEqual(answer.retry_after_s, HOLD_S - 0.1)
         patient = build.queue(target_latency_s=9.0)
         new_orders = self.submit(placer, 0.1, queue=patient, left_s=3.0)
         self.assertEqual(build.starts(new_orders), [])
--- a/acacialine/zoneadmission.py
+++ b/acacialine/zoneadmission.py
@@ -65,7 +65,8 @@
             # The list of servers is still unread; the job waits for it.
             return Decision("", forecast)
         if now < job.not_before and self._ends_late(job, job.not_before):
-            return Decision("overloaded", forecast)
+            end = max(forecast.end or now, job.not_before + job.estimate_s)
+            return Decision("overloaded", attrs.evolve(forecast, end=end))
         if not all(server.runs_listed for server in servers):
             # Free capacity is unknown right after a takeover.
             return Decision("", forecast)
