A placer that lacks jobs of earlier ones tells nobody that it knows them

Cause: a heartbeat with a claim counted as proof that its sender had told of all jobs. It had not if it lacked them itself, if its link was open before it became the placer, or in the first heartbeat of a link. A placer that was silent for up to 3.5 s may have had other jobs since, and a candidate that was paused took old heartbeats for fresh.

Evidence: test_a_job_whose_own_zone_is_lost_and_then_its_new_placer fails with a placer that does not pass on what it lacks; the tests of test_dispatcher on heartbeats fail before.

Change: heartbeats say whether their sender knows all jobs, which a placer does after its wait. They count from the second one of a link, and are dated as all others. A new placer tells the candidates to which it has links of all running jobs. A candidate that claims over 1 s after the last such heartbeat waits as well. Without a claim in the store there was no placer only if the store is up.

Result: both tests pass. A placer of an earlier release says nothing, so that its successor starts new jobs after 1.6 s until a rolling update is complete.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -176,6 +176,7 @@
   weight @11 :Float64;
   serverCount @12 :UInt32;
   serverListOffset @13 :UInt64;
+  knowsJobs @14 :Bool;
 }
 
 struct SubmitJob {
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -449,6 +449,7 @@
             self.evacuation_relay.apply_to_placer()
         self.placer_host.apply_servers(now)
         self.zone_handover.begin_ownership(self.placer_host, now)
+        self.fate_sharing.share_known_jobs()
         self.store_reader.request_servers()
         self.store_reader.request_record_write()
         self.hub.announce()
@@ -458,9 +459,10 @@
         if self.placer_host is None:
             return
         self.log(events.Event.ZONE_RESIGNED, reason=reason)
-        self.zone_handover.predecessors.record_briefing(
-            self.placer_host.epoch, clock.now()
-        )
+        if self.placer_host.knows_jobs():
+            self.zone_handover.predecessors.record_told(
+                self.placer_host.epoch, clock.now()
+            )
         self.placer_host.close()
         self.placer_host = None
         self.fate_sharing.handle_resignation(clock.now())
@@ -581,6 +583,7 @@
             self.settings.dispatcher.weight,
             self.store_reader.server_count,
             self.store_reader.list_offset,
+            self.placer_host is not None and self.placer_host.knows_jobs(),
         )
 
     def _receive_zone_state(self, state: messages.ZoneState) -> None:
@@ -672,10 +675,7 @@
                     self.placer_host.record_heard(session.outbox)
                 session.zone = message.zone
                 self._receive_zone_state(message)
-                if message.claim and message.zone == self.zone:
-                    self.zone_handover.predecessors.record_briefing(
-                        message.claim, clock.now()
-                    )
+                self.zone_handover.record_told(session, message)
                 if (
                     self.evacuation_relay.state.zones
                     and not session.knows_evacuations
--- a/acacialine/fatesharing.py
+++ b/acacialine/fatesharing.py
@@ -129,8 +129,15 @@
         )
         if is_informed and link.heartbeat.zone == dispatcher.zone:
             self._post([link], self.fates.all_fates(), True)
-            for message in dispatcher.job_sharing.new_messages():
-                _post_to_all([link], message)
+            self._post_known_jobs([link])
+
+    def share_known_jobs(self) -> None:
+        """Tells the candidates of running jobs, as this is the placer now."""
+        self._post_known_jobs(self._links_to_candidates())
+
+    def _post_known_jobs(self, to_links: list[peering.PeerLink]) -> None:
+        for message in self._dispatcher.job_sharing.new_open_jobs_messages():
+            _post_to_all(to_links, message)
 
     def receive(self, message: messages.EndedJobs) -> bool:
         """Records what a placer tells; relays it to the candidates.
--- a/acacialine/jobsharing.py
+++ b/acacialine/jobsharing.py
@@ -86,7 +86,7 @@
             now,
         )
 
-    def new_messages(self) -> list[messages.EndedJobs]:
+    def new_open_jobs_messages(self) -> list[messages.EndedJobs]:
         """Returns the messages that tell a candidate of all known jobs."""
         zonetables.drop_expired_remote_jobs(self.remote_jobs, clock.now())
         ids_by_zone = collections.defaultdict(list)
--- a/acacialine/messages.py
+++ b/acacialine/messages.py
@@ -415,6 +415,8 @@
         server_count: Number of backend servers of its zone that it knows.
         server_list_offset: Offset in the store up to which its list of backend
             servers is current; 0 if it has read none.
+        knows_jobs: Whether it is the placer and knows all jobs of earlier ones
+            that may still run.
     """
 
     sender: str
@@ -430,6 +432,7 @@
     weight: float
     server_count: int = 0
     server_list_offset: int = 0
+    knows_jobs: bool = False
 
 
 @attrs.frozen
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -208,6 +208,7 @@
     Attributes:
         outbox: Sends messages to the peer.
         heard_at: Time of the last message.
+        heartbeat_count: Number of heartbeats that have arrived.
         heartbeat_gap_s: Time between the last two heartbeats; the longest
             interval until two have arrived.
         is_silent: Whether the link ended because no message arrived.
@@ -221,6 +222,7 @@
     peer_id: str
     outbox: LinkSocket
     heard_at: float
+    heartbeat_count: int = 0
     heartbeat_gap_s: float = IDLE_HEARTBEAT_INTERVAL_S
     is_silent: bool = False
     is_suspect: bool = False
@@ -236,6 +238,7 @@
 
     def record_heartbeat(self, now: float) -> None:
         """Records that a heartbeat arrived."""
+        self.heartbeat_count += 1
         if self._heartbeat_at:
             self.heartbeat_gap_s = now - self._heartbeat_at
         self._heartbeat_at = now
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -186,6 +186,10 @@
         """
         self.placer.record_heard(origin, self._dispatcher.inputs_read_until)
 
+    def knows_jobs(self) -> bool:
+        """Returns whether no unknown job of an earlier owner may run."""
+        return clock.now() >= self.placer.unknown_jobs_until
+
     def set_suspect(self, origin, is_suspect: bool) -> None:
         """Records whether a dispatcher may be lost."""
         self.placer.set_suspect(origin, is_suspect, clock.now())
--- a/acacialine/predecessors.py
+++ b/acacialine/predecessors.py
@@ -20,17 +20,16 @@
         uninformed_at: When a placer was last heard, or succeeded here, whose
             list may have had servers that the local one lacked.
         heard_at: When a placer was last heard.
-        briefed_epoch: Highest epoch of a placer that told of its jobs.
-        briefed_at: When that placer was last heard on the link on which it
-            does.
+        told_epoch: Highest epoch of a placer that told of its jobs.
+        told_at: Until when it certainly did.
     """
 
     epoch: int = 0
     list_offset: float = -1
     uninformed_at: float = -math.inf
     heard_at: float = -math.inf
-    briefed_epoch: int = 0
-    briefed_at: float = -math.inf
+    told_epoch: int = 0
+    told_at: float = -math.inf
 
     def record_heartbeat(
         self, epoch: int, list_offset: int, removal_offset: int, now: float
@@ -49,13 +48,10 @@
         if list_offset < removal_offset:
             self.uninformed_at = now
 
-    def record_briefing(self, epoch: int, now: float) -> None:
-        """Records that a placer has told of all its jobs until now.
-
-        It tells the dispatchers of its zone that it has opened a link to.
-        """
-        if epoch >= self.briefed_epoch:
-            self.briefed_epoch, self.briefed_at = epoch, now
+    def record_told(self, epoch: int, at: float) -> None:
+        """Records that a placer has told of all its jobs until some time."""
+        if epoch >= self.told_epoch:
+            self.told_epoch, self.told_at = epoch, at
 
     def knows_jobs(self, last_epoch: int, now: float, max_age_s: float) -> bool:
         """Returns whether the jobs of all earlier placers are known.
@@ -65,8 +61,8 @@
             now: The current time.
             max_age_s: Longest silence of a placer until it has a successor.
         """
-        is_recent = now - self.briefed_at <= max_age_s
-        return is_recent and self.briefed_epoch >= last_epoch
+        is_recent = now - self.told_at <= max_age_s
+        return is_recent and self.told_epoch >= last_epoch
 
     def take_over(
         self,
--- a/acacialine/tests/test_combined_faults.py
+++ b/acacialine/tests/test_combined_faults.py
@@ -56,7 +56,25 @@
         simulation.target = "zone-b"
         self.check()
 
-    def test_a_job_whose_own_zone_is_lost_with_a_server_out_of_reach(self):
+    def test_a_job_whose_other_zone_is_lost_before_its_candidates_were_told(
+        self,
+    ):
+        simulation = self.simulation
+        simulation.replaced_after_s = (0.3, 0.3)
+        simulation.succeeded_after_s = (0.3, 0.3)
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.5)
+        simulation.stops_lost_until = 4.0
+        simulation.lose_dispatcher("zone-a", True, False)
+        simulation.run_until(0.8)
+        simulation.lose_dispatcher("zone-b", False, True)
+        simulation.zones["zone-b"].known_jobs = {}
+        simulation.cut_zones(3.0)
+        simulation.target = "zone-b"
+        self.check()
+
+    def lose_own_zone(self):
+        """Loses the zone of a job whose server the next placer can't reach."""
         simulation = self.simulation
         simulation.submit("zone-a", JOB)
         simulation.run_until(0.5)
@@ -66,6 +84,17 @@
         simulation.unreachable_until["zone-a-0"] = 3.0
         simulation.lose_zone("zone-a")
         simulation.target = "zone-a"
+
+    def test_a_job_whose_own_zone_is_lost_with_a_server_out_of_reach(self):
+        self.lose_own_zone()
+        self.check()
+
+    def test_a_job_whose_own_zone_is_lost_and_then_its_new_placer(self):
+        simulation = self.simulation
+        self.lose_own_zone()
+        simulation.run_until(1.6)
+        simulation.succeeded_after_s = (0.1, 0.1)
+        simulation.lose_placer("zone-a")
         self.check()
 
 
--- a/acacialine/tests/test_dispatcher.py
+++ b/acacialine/tests/test_dispatcher.py
@@ -3,6 +3,8 @@
 import types
 import unittest
 
+import attrs
+
 from acacialine import clock
 from acacialine import codec
 from acacialine import dispatcher as dispatcher_lib
@@ -110,23 +112,57 @@
         self.assertEqual(jobfates.decode_open_jobs(message), [JOB])
         self.assertEqual(self.links["zone-b"].posted, [])
 
-    def test_a_placer_that_nobody_told_of_jobs_assumes_unknown_ones(self):
-        handover = self.dispatcher.zone_handover
-        ownership = self.dispatcher.ownership
+    def test_candidates_are_told_of_running_jobs_by_a_new_placer(self):
+        self.dispatcher.job_sharing.record_remote_job(JOB, "zone-b")
+        self.dispatcher.fate_sharing.share_known_jobs()
+        (message,) = self.links["zone-a"].posted
+        self.assertEqual(jobfates.decode_open_jobs(message), [JOB])
+        self.assertEqual(self.links["zone-b"].posted, [])
+
+    def knows_jobs(self, superseded_epoch):
+        """Returns whether this dispatcher knows all jobs as a new placer."""
         host = placerhost.PlacerHost(build.placer(), 7)
-        for superseded_epoch, is_read, knows_jobs in (
-            (0, False, False),  # an earlier placer may be in the store
-            (0, True, True),
-            (5, True, False),
-            (5, True, True),
-        ):
-            ownership.superseded_epoch = superseded_epoch
-            self.dispatcher.store_reader.is_directory_read = is_read
-            if superseded_epoch and knows_jobs:
-                handover.predecessors.record_briefing(5, clock.now())
-            host.placer.knows_jobs = True
-            handover.begin_ownership(host, clock.now())
-            self.assertEqual(host.placer.knows_jobs, knows_jobs)
+        self.dispatcher.ownership.superseded_epoch = superseded_epoch
+        self.dispatcher.zone_handover.begin_ownership(host, clock.now())
+        self.dispatcher.placer_host = host
+        return host.knows_jobs()
+
+    def test_the_first_placer_of_a_zone_knows_all_jobs(self):
+        reader = self.dispatcher.store_reader
+        self.assertFalse(self.knows_jobs(0))
+        reader.is_directory_read = True
+        self.assertTrue(self.knows_jobs(0))
+        reader.is_store_down = True
+        self.assertFalse(self.knows_jobs(0))
+
+    def heartbeat(self, claim, knows_jobs, age_s=0.0):
+        """Lets the second heartbeat of a placer of this zone arrive."""
+        self.dispatcher.inputs_read_until = clock.now() - age_s
+        session = peering.AcceptedLink("a2", outbox=object(), heard_at=0.0)
+        session.heartbeat_count = 2
+        state = attrs.evolve(
+            self.dispatcher._build_zone_state(),
+            sender="127.0.0.1:9-1",
+            claim=claim,
+            knows_jobs=knows_jobs,
+        )
+        self.dispatcher.hub.on_request(session, state, True)
+
+    def test_a_placer_knows_the_jobs_that_the_last_one_told_it(self):
+        self.dispatcher.store_reader.is_directory_read = True
+        self.heartbeat(5, True)
+        self.assertTrue(self.knows_jobs(5))
+        self.assertFalse(self.knows_jobs(6))
+
+    def test_a_placer_that_knows_no_jobs_tells_none(self):
+        self.heartbeat(5, False)
+        self.assertFalse(self.knows_jobs(5))
+        self.dispatcher._give_up_ownership("superseded")
+        self.assertFalse(self.knows_jobs(7))
+
+    def test_a_placer_that_was_silent_may_have_had_other_jobs(self):
+        self.heartbeat(5, True, age_s=1.5)
+        self.assertFalse(self.knows_jobs(5))
 
     def test_a_new_placer_learns_what_clients_cancelled_in_any_zone(self):
         # A zone whose dispatchers were restarted in turn, without a moment in
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -33,7 +33,7 @@
     """A zone: its placer, and what the candidates to succeed it know.
 
     Attributes:
-        has_candidate: Whether one knew the placer that was lost.
+        has_candidate: Whether one was told of all jobs by the lost placer.
     """
 
     def __init__(self, owner):
@@ -42,6 +42,12 @@
         self.known_losses = {}
         self.has_candidate = True
 
+    def lose_owner(self, now):
+        """Removes the placer, which tells of no jobs that it lacks itself."""
+        if now < self.owner.placer.unknown_jobs_until:
+            self.has_candidate = False
+        self.owner = None
+
 
 class Link:
     """The link of a dispatcher to the placer of a zone.
@@ -247,7 +253,7 @@
                             s, True, at
                         ),
                     )
-        zone.owner = None
+        zone.lose_owner(self.now)
         for link in self.links.values():
             if link.zone == zone_name:
                 link.generation += 1
--- a/acacialine/tests/test_lost_dispatchers.py
+++ b/acacialine/tests/test_lost_dispatchers.py
@@ -267,7 +267,7 @@
             return
         self.note_zone(f"placer of {zone_name} dies")
         former.is_closed = True
-        zone.owner = None
+        zone.lose_owner(self.now)
         if self.random.random() < 0.5:
             self.lose_candidates(zone_name)
         for link in self.links.values():
@@ -468,7 +468,8 @@
     def suspend_placer(self, zone_name, seconds, succeeded_after_s):
         """Suspends a placer; a successor takes over meanwhile."""
         zone = self.zones[zone_name]
-        former, zone.owner = zone.owner, None
+        former = zone.owner
+        zone.lose_owner(self.now)
         former.paused_until = self.now + seconds
         self.former_owners.append(former)
         for link in self.links.values():
--- a/acacialine/tests/test_predecessors.py
+++ b/acacialine/tests/test_predecessors.py
@@ -40,14 +40,14 @@
         self.assertTrue(self.take_over(6.0, 7))
 
     def test_jobs_are_known_to_a_dispatcher_that_the_last_placer_told(self):
-        self.predecessors.record_briefing(5, 1.0)
+        self.predecessors.record_told(5, 1.0)
         self.assertTrue(self.predecessors.knows_jobs(5, 2.0, MAX_AGE_S))
         self.assertFalse(self.predecessors.knows_jobs(6, 2.0, MAX_AGE_S))
         self.assertFalse(self.predecessors.knows_jobs(5, 6.0, MAX_AGE_S))
 
     def test_an_earlier_placer_does_not_tell_of_the_jobs_of_the_last(self):
-        self.predecessors.record_briefing(6, 1.0)
-        self.predecessors.record_briefing(5, 4.0)
+        self.predecessors.record_told(6, 1.0)
+        self.predecessors.record_told(5, 4.0)
         self.assertFalse(self.predecessors.knows_jobs(6, 6.0, MAX_AGE_S))
 
 
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -13,6 +13,7 @@
 from acacialine import learnedstate
 from acacialine import messages
 from acacialine import ownership as ownership_lib
+from acacialine import peering
 from acacialine import predecessors as predecessors_lib
 
 REPORT_INTERVAL_S = 1.0
@@ -90,6 +91,22 @@
             )
         self._send_list_if_needed(state, now)
 
+    def record_told(
+        self, session: peering.AcceptedLink, state: messages.ZoneState
+    ) -> None:
+        """Records that the placer of this zone has told of its jobs.
+
+        It does so on a link that it has opened, after its first heartbeat.
+        """
+        if (
+            state.zone == self._dispatcher.zone
+            and state.knows_jobs
+            and session.heartbeat_count > 1
+        ):
+            self.predecessors.record_told(
+                state.claim, self._dispatcher.inputs_read_until
+            )
+
     def _send_list_if_needed(
         self, state: messages.ZoneState, now: float
     ) -> None:
@@ -164,18 +181,14 @@
 
     def _knows_jobs(self, now: float) -> bool:
         """Returns whether a new placer here knows the jobs of earlier ones."""
-        ownership = self._dispatcher.ownership
-        last_epoch = max(ownership.superseded_epoch, ownership.stored_claim[0])
+        last_epoch = self._dispatcher.ownership.superseded_epoch
         if not last_epoch:
             # Without a claim in the store there was no earlier placer.
-            return self._dispatcher.store_reader.is_directory_read
-        # A successor may claim the zone so long after the last heartbeat.
-        claim_s = (
-            ownership_lib.ISOLATED_WAIT_S
-            + ownership.heartbeat_timeout_s
-            + CLAIM_MARGIN_S
-        )
-        return self.predecessors.knows_jobs(last_epoch, now, claim_s)
+            reader = self._dispatcher.store_reader
+            return reader.is_directory_read and not reader.is_store_down
+        # A placer that was silent for longer may have had other jobs since.
+        max_age_s = ownership_lib.SILENT_S + CLAIM_MARGIN_S
+        return self.predecessors.knows_jobs(last_epoch, now, max_age_s)
 
 
 def _format_age(at: float, now: float) -> float | str:
