Dispatchers that start together hear each other before they claim their zone

Seen: in a start of 43 dispatchers in three zones (13, 17, 13) at load 10 to 32 nearly each claims its zone: 67 E830, 54 of them with no backend server and 43 with no placer heard; the first claim comes 0 to 0.62 s after E850.

Cause: the wait of 0.7 s counts from the construction of the process, which may listen only later. It then claims in its first tick, before it has read or heard anything. One that has read the directory claims before its links to the listed dispatchers are open. And the heartbeat of an older candidate counts as "knows no server" although it was sent before both read the list.

Change: the wait counts from when the dispatcher serves. It lasts, up to the 2.5 s of an isolated one, until the directory was read and each listed dispatcher of the zone that it links to was heard or can't be reached. An older candidate counts as uninformed only by a heartbeat 0.7 s after this one has read the list.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -266,6 +266,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await self._listen(nursery)
+            self.ownership.started_at = clock.now()
             nursery.start_soon(self._run_ticks)
             nursery.start_soon(self.link_manager.run, nursery)
             nursery.start_soon(self.hub.run_silence_checks)
@@ -431,6 +432,7 @@
         if self.ownership.awaits_connectivity_proof:
             self.store_reader.request_record_write()
         self.ownership.server_count = self.store_reader.server_count
+        self.ownership.awaits_members = self.link_manager.awaits_peers(now)
         random_bits = self._random.getrandbits(ownership_lib.EPOCH_RANDOM_BITS)
         match self.ownership.decide(now, time.time(), random_bits):
             case ownership_lib.Role.PLACER:
--- a/acacialine/linkmanager.py
+++ b/acacialine/linkmanager.py
@@ -36,6 +36,8 @@
     is_senior: bool = True
     _zone_by_peer: dict[str, str] = attrs.field(factory=dict)
     _update_requested: trio.Event = attrs.field(factory=trio.Event)
+    # Whether all that the directory lists at first were heard or given up.
+    _has_heard_peers: bool = False
 
     def add_peer(self, peer_id: str, zone: str) -> None:
         """Records that a dispatcher exists, and its zone."""
@@ -43,6 +45,36 @@
             self._zone_by_peer[peer_id] = zone
             self.request_update()
 
+    def awaits_peers(self, now: float) -> bool:
+        """Returns whether to wait for the others of the zone after the start.
+
+        It ends when the directory has been read, and each listed dispatcher
+        that this one links to was heard or can't be reached.
+        """
+        if not self._has_heard_peers:
+            self._has_heard_peers = bool(
+                self._dispatcher.store_reader.directory.records
+            ) and not any(
+                self._is_awaited(neighbour)
+                for neighbour in self._linked_neighbours(now)
+            )
+        return not self._has_heard_peers
+
+    def _linked_neighbours(self, now: float) -> list[topology.Neighbour]:
+        """Returns the neighbours that this dispatcher is to link to."""
+        neighbours = self._neighbours(now)
+        addresses = self._choose_links(neighbours).addresses
+        return [n for n in neighbours if n.address in addresses]
+
+    def _is_awaited(self, neighbour: topology.Neighbour) -> bool:
+        dispatcher = self._dispatcher
+        link = dispatcher.hub.dialled_links.get(neighbour.address)
+        return not (
+            neighbour.is_unreachable
+            or neighbour.id in dispatcher.ownership.members
+            or (link is not None and link.is_open)
+        )
+
     def request_update(self) -> None:
         """Requests an update of the links, as a peer or link has changed."""
         self._update_requested.set()
@@ -96,12 +128,7 @@
         """
         dispatcher = self._dispatcher
         settings = dispatcher.settings.dispatcher
-        neighbourhood = topology.choose_links(
-            topology.rank(
-                settings.weight, dispatcher.started, dispatcher.my_id
-            ),
-            self._neighbours(now),
-        )
+        neighbourhood = self._choose_links(self._neighbours(now))
         self.is_senior = neighbourhood.is_candidate
         dispatcher.ownership.heartbeat_timeout_s = (
             ownership_lib.SILENT_S if self.is_senior else NON_CANDIDATE_SILENT_S
@@ -114,6 +141,14 @@
                 wanted.setdefault(address, "")
         return wanted
 
+    def _choose_links(
+        self, neighbours: list[topology.Neighbour]
+    ) -> topology.ZoneLinks:
+        dispatcher = self._dispatcher
+        weight = dispatcher.settings.dispatcher.weight
+        local_rank = topology.rank(weight, dispatcher.started, dispatcher.my_id)
+        return topology.choose_links(local_rank, neighbours)
+
     def _neighbours(self, now: float) -> list[topology.Neighbour]:
         """Returns the known other dispatchers of the local zone."""
         dispatcher = self._dispatcher
--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -104,6 +104,8 @@
             responded.
         server_count: Number of backend servers of the zone that this
             dispatcher knows.
+        awaits_members: Whether others of the zone may exist that it has not
+            heard since its start, and that may still be reached.
     """
 
     my_id: str
@@ -119,10 +121,13 @@
     stored_claim: tuple[int, float] = (0, -1e9)
     last_contact_at: float = -1e9
     server_count: int = 0
+    awaits_members: bool = False
     _not_before: float = 0.0
     _isolated_since: float | None = None
     _relayed_claim: tuple[int, float] = (0, -1e9)
     _highest_heard_epoch: int = 0
+    # When it last knew no backend server.
+    _uninformed_at: float = -1e9
 
     @property
     def role(self) -> Role:
@@ -188,6 +193,8 @@
             wall_s: Wall clock in s since 1970, from which the epoch is made.
             random_bits: Random number of EPOCH_RANDOM_BITS bits.
         """
+        if not self.server_count:
+            self._uninformed_at = now
         current_placer = self.placer(now)
         if self.epoch:
             steps_down = (
@@ -301,7 +308,10 @@
             return False
         if not self.is_candidate and self._has_successor(now):
             return False
-        if now - self.started_at < STARTUP_WAIT_S:
+        started_s = now - self.started_at
+        if started_s < STARTUP_WAIT_S or (
+            self.awaits_members and started_s < ISOLATED_WAIT_S
+        ):
             return False
         for member in list(self.members.values()):
             if now - (member.heard_at or 0.0) > MEMBER_EXPIRY_S:
@@ -326,10 +336,21 @@
         )
         return all(
             (not m.is_candidate and self.is_candidate)
-            or own_rank < (not m.server_count, m.rank)
+            or own_rank < (self._is_uninformed(m), m.rank)
             for m in live
         )
 
+    def _is_uninformed(self, member: Member) -> bool:
+        """Returns whether a live member certainly knows no backend server.
+
+        Those that start together read the list at about the same time, so one
+        that has just read it gives the others the time to tell that they have.
+        """
+        if member.server_count or not self.server_count:
+            return not member.server_count
+        since = max(self.started_at, self._uninformed_at)
+        return member.heard_at - since >= STARTUP_WAIT_S
+
     def _may_claim_while_isolated(self, now: float) -> bool:
         """Returns whether to claim while no other member is heard.
 
--- a/acacialine/tests/test_ownership.py
+++ b/acacialine/tests/test_ownership.py
@@ -149,6 +149,33 @@
         local.record_relayed_claim("b", 77, 2.1)
         self.assertIs(self.decide(local, 2.1), ownership.Role.PLACER)
 
+    def test_a_dispatcher_that_starts_waits_for_those_not_heard_yet(self):
+        local = new_ownership()
+        local.awaits_members = True
+        for now in (0.8, 2.4):
+            self.assertIsNone(self.decide(local, now))
+        local.awaits_members = False
+        self.assertIs(self.decide(local, 2.4), ownership.Role.PLACER)
+
+    def test_a_dispatcher_that_starts_waits_for_a_limited_time(self):
+        local = new_ownership()
+        local.awaits_members = True
+        self.assertIs(
+            self.decide(local, ownership.ISOLATED_WAIT_S), ownership.Role.PLACER
+        )
+
+    def test_one_that_has_just_read_the_list_lets_an_older_one_read_it(self):
+        local = new_ownership("a", 5.0)
+        self.record_heartbeat(local, "b", 3.0, 1.0)
+        self.assertIsNone(self.decide(local, 3.0))
+        local.server_count = 9
+        read_at = 3.0
+        for age_s, role in ((0.2, None), (0.6, None), (0.8, "placer")):
+            now = read_at + age_s
+            self.record_heartbeat(local, "b", now, 1.0)
+            decided = self.decide(local, now)
+            self.assertEqual(decided and decided.value, role)
+
 
 if __name__ == "__main__":
     unittest.main()
