--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -849,6 +849,18 @@
         placer.tick(HOLD_S + 0.03)
         self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
+    def test_a_job_heard_long_ago_starts_on_no_server_that_was_just_listed(
+        self,
+    ):
+        # The last owner may have renewed the lease there a moment before.
+        placer = build.placer(build.server("i-1"), now=0.2)
+        placer.submit(build.submission(), "dispatcher", 0.2, heard_at=0.0)
+        placer.tick(0.2)
+        self.assertEqual(build.starts(placer.take_orders()), [])
+        placer.record_heard("dispatcher", 0.2)
+        placer.tick(0.22)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
     def test_a_job_waits_or_is_refused_while_others_may_run_unknown(self):
         placer = build.placer()
         placer.assume_unknown_jobs(0.0)
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -45,6 +45,8 @@
         async def scenario():
             error = await poll(server)
             self.assertEqual(server.lease_until, now + 0.5)
+            # Until it fails, no task may rely on the shorter lease.
+            self.assertGreater(leases.ends_by(server), now + 0.9)
             self.assertIsInstance(error, serverclient.RefusedError)
 
         support.run(scenario)
