Real processes: lost zones whose jobs are sent again

Evidence: four scenarios with dispatcher processes, of a start beside a longer lease, another zone that is lost, and an own zone that is lost but for a new or a suspended dispatcher.

Change: the module; it runs after the simulated tests.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,10 @@
 SIMULATED_TESTS := $(addprefix acacialine.tests.test_,combined_faults contention core_properties \
 	evacuation job_fates job_fates_properties kept_jobs load_peak lookahead losses \
 	lost_dispatchers placer placer_properties unanswered_orders)
-OTHER_TESTS := $(filter-out $(CROWD_TESTS) $(SIMULATED_TESTS),$(TESTS))
+# Of the tests with processes, those that run after the simulated ones, so that
+# both halves take about as long.
+ZONE_TESTS := acacialine.tests.test_lost_zones
+OTHER_TESTS := $(filter-out $(CROWD_TESTS) $(SIMULATED_TESTS) $(ZONE_TESTS),$(TESTS))
 
 .PHONY: setup demo test test-simulated test-others test-crowds lint format fuzz bench clean
 
@@ -29,7 +32,7 @@
 	$(MAKE) test-crowds && exit $$status
 
 test-simulated: setup
-	$(BIN)/python -m unittest $(SIMULATED_TESTS)
+	$(BIN)/python -m unittest $(SIMULATED_TESTS) $(ZONE_TESTS)
 
 test-others: setup
 	$(BIN)/python -m unittest $(OTHER_TESTS)
--- /dev/null
+++ b/acacialine/tests/test_lost_zones.py
@@ -0,0 +1,260 @@
+"""Runs that live on after their zone has lost all its dispatchers.
+
+Their clients send the jobs again to dispatchers that know nothing of them.
+"""
+
+import functools
+import pathlib
+import signal
+import tempfile
+import unittest
+
+import trio
+
+from acacialine import clock
+from acacialine.tools import zonecluster
+
+RETRANSMIT_S = 1.3  # retransmitMs of the platform
+DEADLINE_MS = 8000
+SETTLING_S = 2.5
+JOB = "00000000000000ab"
+NEIGHBOUR = "00000000000000cd"
+SHORT_NEIGHBOUR = "00000000000000ef"
+
+
+class LostZonesTest(unittest.TestCase):
+    """Each server runs two tasks; their ends are set by the tests."""
+
+    def run_scenario(self, scenario, servers, dispatchers):
+        async def main():
+            with tempfile.TemporaryDirectory() as directory:
+                async with trio.open_nursery() as nursery:
+                    cluster = zonecluster.Cluster(
+                        nursery,
+                        pathlib.Path(directory),
+                        deadline_ms=DEADLINE_MS,
+                    )
+                    try:
+                        await cluster.start(servers, dispatchers)
+                        await self.wait_for_lists(cluster)
+                        await self.wait_until_settled(cluster)
+                        with trio.move_on_after(12) as scope:
+                            await scenario(cluster)
+                        log = self.describe(cluster)
+                        self.assertEqual(
+                            cluster.fake_servers.violations, [], log
+                        )
+                        self.assertFalse(scope.cancelled_caught, log)
+                    finally:
+                        cluster.close()
+                        nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def describe(self, cluster):
+        """Returns the lines of the logs that tell of the jobs and placers."""
+        words = (JOB, NEIGHBOUR, SHORT_NEIGHBOUR, " zone_")
+        lines = [
+            f"{line[:13]}{name} {line[13:]}"
+            for name in cluster.processes
+            for line in cluster.read_log(name).splitlines()
+            if any(word in line for word in words)
+        ]
+        return "\n".join(["", *sorted(lines)])
+
+    async def wait_for_lists(self, cluster):
+        """Waits until the placers know all servers of their zone."""
+        zones = [server.zone for server in cluster.servers]
+        with trio.fail_after(20):
+            for zone in set(zones):
+                placer = cluster.find_placer(zone)
+                while cluster.read_log(placer).count(
+                    " E820 zone_server_listed "
+                ) < zones.count(zone):
+                    await trio.sleep(0.05)
+
+    async def wait_until_settled(self, cluster):
+        """Waits until no placer has changed for a while.
+
+        On a busy machine several dispatchers claim a zone at the start. The
+        zones learn of each other meanwhile.
+        """
+
+        def count_claims():
+            logs = map(cluster.read_log, cluster.processes)
+            return sum(log.count(" E830 zone_owned ") for log in logs)
+
+        claim_count = 0
+        with trio.fail_after(20):
+            while claim_count != count_claims():
+                claim_count = count_claims()
+                await trio.sleep(SETTLING_S)
+
+    async def wait_for_line(self, cluster, name, *words):
+        """Waits for a line of a log that contains all of these words."""
+        while not any(
+            all(word in line for word in words)
+            for line in cluster.read_log(name).splitlines()
+        ):
+            await trio.sleep(0.005)
+
+    async def start_job(self, cluster, name, job, length_s, **kwargs):
+        """Sends a job and waits until it runs."""
+        self.send_job(cluster, name, job, length_s, **kwargs)
+        while job not in cluster.fake_servers.started_jobs:
+            await trio.sleep(0.002)
+
+    def send_job(self, cluster, name, job, length_s, **kwargs):
+        submit = functools.partial(
+            cluster.submit,
+            name,
+            job,
+            length_s=length_s,
+            **{"count": 1, **kwargs},
+        )
+        cluster.nursery.start_soon(submit)
+
+    def find_server(self, cluster, job):
+        """Returns the server on which a job runs."""
+        (server_id,) = [
+            server.id
+            for server in cluster.fake_servers.servers.values()
+            if any(run.key.job_id == job for run in server.runs.values())
+        ]
+        return server_id
+
+    def end_runs(self, cluster, job):
+        """Ends the runs of a job now."""
+        for server in cluster.fake_servers.servers.values():
+            for run in server.runs.values():
+                if run.key.job_id == job:
+                    run.ends_at = clock.now()
+
+    def lose_entry(self, cluster, name):
+        """Suspends a dispatcher and resets the connections of its clients."""
+        cluster.processes[name].send_signal(signal.SIGSTOP)
+        cluster.client_routes[name].reset_connections()
+
+    def cut_off(self, cluster, name):
+        """Cuts a dispatcher off from all others."""
+        cluster.peer_routes[name].hold(True, False)
+        for other in set(cluster.dispatchers) - {name}:
+            route = cluster.peer_routes[other]
+            port = cluster.ports[name].peer_proxy
+            route.hold_diallers(route.held_diallers | {port})
+
+    async def send_again(self, cluster, name, lost_at, length_s):
+        """Sends the job again and waits until it ran."""
+        await trio.sleep_until(lost_at + RETRANSMIT_S)
+        await self.wait_for_line(cluster, name, " E820 zone_server_listed ")
+        status = await cluster.submit(name, JOB, 1, length_s)
+        self.assertEqual(status, 200)
+
+    def test_a_job_that_starts_late_gets_the_lease_of_its_neighbour(self):
+        async def scenario(cluster):
+            placer = cluster.find_placer("a")
+            (entry,) = {"a1", "a2"} - {placer}
+            await self.start_job(cluster, placer, NEIGHBOUR, 4.0)
+            await self.start_job(cluster, placer, SHORT_NEIGHBOUR, 1.5)
+            self.send_job(cluster, entry, JOB, 1.5, is_proxied=True)
+            await self.wait_for_line(cluster, placer, " E800 ", JOB)
+            self.lose_entry(cluster, entry)
+            lost_at = trio.current_time()
+            await trio.sleep(0.45)
+            self.end_runs(cluster, SHORT_NEIGHBOUR)
+            with trio.move_on_at(lost_at + 0.6):
+                while JOB not in cluster.fake_servers.started_jobs:
+                    await trio.sleep(0.002)
+            cluster.processes[placer].kill()
+            await self.send_again(cluster, "b1", lost_at, 1.5)
+
+        self.run_scenario(
+            scenario, ["a", "b"], {"a1": "a", "a2": "a", "b1": "b"}
+        )
+
+    async def lose_entry_and_placer(self, cluster, placer, entry):
+        """Loses an entry, then its placer just before it ends the job.
+
+        Returns:
+            When the entry was lost.
+        """
+        self.lose_entry(cluster, entry)
+        lost_at = trio.current_time()
+        await trio.sleep_until(lost_at + 0.75)
+        self.end_runs(cluster, NEIGHBOUR)  # its placer then renews the leases
+        await trio.sleep_until(lost_at + 0.85)
+        cluster.processes[placer].kill()
+        return lost_at
+
+    def test_a_job_whose_other_zone_is_lost_after_it_was_told_of_it(self):
+        async def scenario(cluster):
+            placer = cluster.find_placer("a")
+            (entry,) = {"a1", "a2"} - {placer}
+            other_placer = cluster.find_placer("b")
+            (successor,) = {"b1", "b2"} - {other_placer}
+            self.cut_off(cluster, successor)
+            cluster.processes[successor].send_signal(signal.SIGSTOP)
+            await self.start_job(cluster, placer, NEIGHBOUR, 4.0)
+            await self.start_job(cluster, entry, JOB, 3.0, is_proxied=True)
+            await trio.sleep(0.4)  # until zone b has confirmed the notice
+            cluster.processes[other_placer].kill()
+            cluster.processes[successor].send_signal(signal.SIGCONT)
+            lost_at = await self.lose_entry_and_placer(cluster, placer, entry)
+            await self.send_again(cluster, successor, lost_at, 3.0)
+
+        self.run_scenario(
+            scenario,
+            ["a", "b"],
+            {"a1": "a", "a2": "a", "b1": "b", "b2": "b"},
+        )
+
+    def run_own_zone_lost(self, prepare):
+        """Loses zone a but for a server and a dispatcher that knows no jobs.
+
+        Args:
+            prepare: Called with the cluster and that dispatcher, while it is
+                cut off from all others and from the store.
+        """
+
+        async def scenario(cluster):
+            placer = cluster.find_placer("a")
+            entry, successor = sorted({"a1", "a2", "a3"} - {placer})
+            self.cut_off(cluster, successor)
+            cluster.turn_away(successor, "silent")
+            await prepare(cluster, successor)
+            # Three of four places are taken, so the job has a neighbour.
+            await self.start_job(cluster, placer, NEIGHBOUR, 4.0, count=3)
+            await self.start_job(cluster, entry, JOB, 3.0, is_proxied=True)
+            await trio.sleep(0.4)  # until zone b has confirmed the notice
+            cluster.processes[successor].send_signal(signal.SIGCONT)
+            lost_at = await self.lose_entry_and_placer(cluster, placer, entry)
+            cluster.server_routes[self.find_server(cluster, JOB)].hold(
+                True, False
+            )
+            cluster.turn_away(successor, "")
+            await self.send_again(cluster, successor, lost_at, 3.0)
+
+        self.run_scenario(
+            scenario,
+            ["a", "a", "b"],
+            {"a1": "a", "a2": "a", "a3": "a", "b1": "b"},
+        )
+
+    def test_a_job_whose_own_zone_is_lost_but_for_a_new_dispatcher(self):
+        async def restart(cluster, successor):
+            cluster.processes[successor].kill()
+            cluster.processes[successor].wait()
+            cluster.start_process(successor)
+            await trio.sleep(2.0)  # until it runs
+
+        self.run_own_zone_lost(restart)
+
+    def test_a_job_whose_own_zone_is_lost_but_for_a_suspended_dispatcher(self):
+        async def suspend(cluster, successor):
+            cluster.processes[successor].send_signal(signal.SIGSTOP)
+
+        self.run_own_zone_lost(suspend)
+
+
+if __name__ == "__main__":
+    unittest.main()
