A placer waits for the lists of its servers if the last one was silent for long

Where the last placer was silent for over 1 s before its end, as to a dispatcher that is suspended or cut off, it may have started jobs since. And a job that a dispatcher hands over to a placer that knows no jobs may run in another zone, of which only the lost one was told.

Change: a placer that was told until 1 to 3.5 s ago starts no task before all servers have listed their runs, for 1.6 s at most; other zones tell it again of the jobs that run there. One that was not told, or longer ago, waits 1.6 s with all jobs, also those that are handed over.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -93,8 +93,10 @@
         last_start_at: Until when jobs of which a task may have started go on
             starting tasks, while the zone is evacuated; None if it is not.
         new_jobs_wait_until: Jobs that arrive before start no task before.
-        knows_jobs: Whether it was told of the jobs of earlier owners.
-        unknown_jobs_until: Until when runs of others may go on.
+        unknown_jobs_until: Until when jobs of earlier owners may run of which
+            it was not told; no task starts before.
+        are_unknown_jobs_local: Whether these run on servers of this zone, so
+            that they are known once all of these have listed their runs.
     """
 
     tables: zonetables.ZoneTables
@@ -108,8 +110,8 @@
     obeyed_since: float = attrs.field(init=False)
     last_start_at: float | None = None
     new_jobs_wait_until: float = -1e9
-    knows_jobs: bool = True
     unknown_jobs_until: float = -1e9
+    are_unknown_jobs_local: bool = False
     shares: fairshare.FairShares = attrs.field(init=False)
     returns: retries.Returns = attrs.field(factory=retries.Returns)
     _starter: placement.TaskStarter = attrs.field(init=False)
@@ -217,7 +219,7 @@
         if self.policy.priority_first:
             job.priority_rank = job.queue.priority
         job.not_before = self.new_jobs_wait_until
-        if not submission.handovers:
+        if not self.are_unknown_jobs_local:
             job.not_before = max(job.not_before, self.unknown_jobs_until)
         if remote is not None:
             job.known_since = min(job.known_since, remote.known_since)
@@ -673,15 +675,26 @@
         self.tables.counters["abandoned"] += 1
         self._end_job(job, None, "deadline", now)
 
-    def assume_unknown_jobs(self, now: float) -> None:
+    def assume_unknown_jobs(self, are_local: bool, now: float) -> None:
         """Assumes runs of jobs that an earlier owner had and this one lacks.
 
-        A job that no dispatcher hands over may be one of them, which its client
-        has sent again, so it waits until their leases have ended.
+        Any job may be one of them that its client has sent again, here or to
+        the earlier owner. So all wait until the leases have ended, or until the
+        runs of this zone are known.
+
+        Args:
+            are_local: See `are_unknown_jobs_local`.
+            now: The current time.
         """
-        self.knows_jobs = False
+        self.are_unknown_jobs_local = are_local
         self.unknown_jobs_until = now + self.lease_times.superseded_owner_s
 
+    def may_lack_jobs(self, now: float) -> bool:
+        """Returns whether unknown jobs of earlier owners may run."""
+        if self.are_unknown_jobs_local and self.runs.all_runs_known:
+            self.unknown_jobs_until = min(self.unknown_jobs_until, now)
+        return now < self.unknown_jobs_until
+
     def record_first_list(self, now: float) -> None:
         """Records that the list of servers was first read after the takeover.
 
@@ -689,11 +702,9 @@
         had heard of this one.
         """
         self.obeyed_since = now
-        if not self.knows_jobs:
-            self.assume_unknown_jobs(now)
+        if self.may_lack_jobs(now):
+            self.assume_unknown_jobs(self.are_unknown_jobs_local, now)
         for job in self.tables.jobs.values():
-            if not job.possible_starts:
-                job.not_before = max(job.not_before, self.unknown_jobs_until)
             if job.hold_until:
                 job.hold_until = now + self.runs.lease_times.superseded_owner_s
 
@@ -760,7 +771,8 @@
             self._announce_open_jobs(now)
             if now >= self.last_start_at:
                 return
-        self._starter.start_tasks(self._suspect_origins, now)
+        if not self.may_lack_jobs(now):
+            self._starter.start_tasks(self._suspect_origins, now)
 
     def _log_share(self, key: fairshare.Key, now: float) -> None:
         competitor = self.shares.competitors[key]
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -188,7 +188,7 @@
 
     def knows_jobs(self) -> bool:
         """Returns whether no unknown job of an earlier owner may run."""
-        return clock.now() >= self.placer.unknown_jobs_until
+        return not self.placer.may_lack_jobs(clock.now())
 
     def set_suspect(self, origin, is_suspect: bool) -> None:
         """Records whether a dispatcher may be lost."""
--- a/acacialine/predecessors.py
+++ b/acacialine/predecessors.py
@@ -53,16 +53,18 @@
         if epoch >= self.told_epoch:
             self.told_epoch, self.told_at = epoch, at
 
-    def knows_jobs(self, last_epoch: int, now: float, max_age_s: float) -> bool:
-        """Returns whether the jobs of all earlier placers are known.
+    def told_age_s(self, last_epoch: int, now: float) -> float:
+        """Returns for how long the last placer has not told of its jobs.
+
+        It is infinite if that placer never did.
 
         Args:
             last_epoch: Highest epoch known of any earlier claim.
             now: The current time.
-            max_age_s: Longest silence of a placer until it has a successor.
         """
-        is_recent = now - self.told_at <= max_age_s
-        return is_recent and self.told_epoch >= last_epoch
+        if self.told_epoch < last_epoch:
+            return math.inf
+        return now - self.told_at
 
     def take_over(
         self,
--- a/acacialine/tests/test_dispatcher.py
+++ b/acacialine/tests/test_dispatcher.py
@@ -120,8 +120,13 @@
         self.assertEqual(self.links["zone-b"].posted, [])
 
     def knows_jobs(self, superseded_epoch):
-        """Returns whether this dispatcher knows all jobs as a new placer."""
+        """Returns whether this dispatcher knows all jobs as a new placer.
+
+        It has not listed the runs of its servers yet.
+        """
         host = placerhost.PlacerHost(build.placer(), 7)
+        self.server = host.placer.tables.servers["i-1"]
+        self.server.runs_listed = False
         self.dispatcher.ownership.superseded_epoch = superseded_epoch
         self.dispatcher.zone_handover.begin_ownership(host, clock.now())
         self.dispatcher.placer_host = host
@@ -137,6 +142,7 @@
 
     def heartbeat(self, claim, knows_jobs, age_s=0.0):
         """Lets the second heartbeat of a placer of this zone arrive."""
+        self.dispatcher.placer_host = None
         self.dispatcher.inputs_read_until = clock.now() - age_s
         session = peering.AcceptedLink("a2", outbox=object(), heard_at=0.0)
         session.heartbeat_count = 2
@@ -161,8 +167,13 @@
         self.assertFalse(self.knows_jobs(7))
 
     def test_a_placer_that_was_silent_may_have_had_other_jobs(self):
-        self.heartbeat(5, True, age_s=1.5)
-        self.assertFalse(self.knows_jobs(5))
+        for age_s, are_local in ((1.5, True), (4.0, False)):
+            self.heartbeat(5, True, age_s=age_s)
+            self.assertFalse(self.knows_jobs(5))
+            self.server.runs_listed = True
+            self.assertEqual(
+                self.dispatcher.placer_host.knows_jobs(), are_local
+            )
 
     def test_a_new_placer_learns_what_clients_cancelled_in_any_zone(self):
         # A zone whose dispatchers were restarted in turn, without a moment in
--- a/acacialine/tests/test_kept_jobs.py
+++ b/acacialine/tests/test_kept_jobs.py
@@ -267,7 +267,7 @@
         owner = self._new_owner(zone_name, epoch, now)
         owner.placer.tables.remote_jobs.update(zone.known_jobs)
         if not zone.has_candidate:
-            owner.placer.assume_unknown_jobs(now)
+            owner.placer.assume_unknown_jobs(False, now)
         zone.has_candidate = True
         for (job_id, index), known in zone.known_losses.items():
             owner.placer.tables.losses.merge(job_id, index, known, now)
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -861,9 +861,28 @@
         placer.tick(0.22)
         self.assertEqual(len(build.starts(placer.take_orders())), 2)
 
+    def test_a_job_waits_for_the_runs_of_a_placer_that_was_silent(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        late = placer.tables.servers["i-2"]
+        late.runs_listed = False
+        placer.assume_unknown_jobs(True, 0.0)
+        new_orders = self.submit(placer, 0.1)
+        self.assertEqual(build.starts(new_orders), [])
+        new_orders = self.poll(placer, late, 0.12)
+        self.assertEqual(len(build.starts(new_orders)), 2)
+
+    def test_a_handed_over_job_waits_while_others_may_run_unknown(self):
+        # It may run in another zone, of which only the last owner knew.
+        placer = build.placer()
+        placer.assume_unknown_jobs(False, 0.0)
+        new_orders = self.submit(placer, 0.1, handovers=1)
+        self.assertEqual(build.starts(new_orders), [])
+        placer.tick(HOLD_S + 0.03)
+        self.assertEqual(len(build.starts(placer.take_orders())), 2)
+
     def test_a_job_waits_or_is_refused_while_others_may_run_unknown(self):
         placer = build.placer()
-        placer.assume_unknown_jobs(0.0)
+        placer.assume_unknown_jobs(False, 0.0)
         new_orders = self.submit(placer, 0.1)
         (answer,) = build.answers(new_orders)
         self.assertEqual(answer.reason, "overloaded")
--- a/acacialine/tests/test_predecessors.py
+++ b/acacialine/tests/test_predecessors.py
@@ -1,5 +1,6 @@
 """Whether the earlier placers of a zone knew servers that a new one lacks."""
 
+import math
 import unittest
 
 from acacialine import predecessors
@@ -39,16 +40,15 @@
         self.assertFalse(self.take_over(2.0, 6))
         self.assertTrue(self.take_over(6.0, 7))
 
-    def test_jobs_are_known_to_a_dispatcher_that_the_last_placer_told(self):
+    def test_a_placer_that_told_of_its_jobs(self):
         self.predecessors.record_told(5, 1.0)
-        self.assertTrue(self.predecessors.knows_jobs(5, 2.0, MAX_AGE_S))
-        self.assertFalse(self.predecessors.knows_jobs(6, 2.0, MAX_AGE_S))
-        self.assertFalse(self.predecessors.knows_jobs(5, 6.0, MAX_AGE_S))
+        self.assertEqual(self.predecessors.told_age_s(5, 2.0), 1.0)
+        self.assertEqual(self.predecessors.told_age_s(6, 2.0), math.inf)
 
     def test_an_earlier_placer_does_not_tell_of_the_jobs_of_the_last(self):
         self.predecessors.record_told(6, 1.0)
         self.predecessors.record_told(5, 4.0)
-        self.assertFalse(self.predecessors.knows_jobs(6, 6.0, MAX_AGE_S))
+        self.assertEqual(self.predecessors.told_age_s(6, 6.0), 5.0)
 
 
 if __name__ == "__main__":
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -163,13 +163,11 @@
         )
         if not knows_servers:
             host.placer.runs.assume_unknown_servers(now)
-        knows_jobs = self._knows_jobs(now)
-        if not knows_jobs:
-            host.placer.assume_unknown_jobs(now)
+        self._assume_unknown_jobs(host.placer, now)
         self._dispatcher.log(
             events.Event.ZONE_STATE_INHERITED,
             knows_servers=int(knows_servers),
-            knows_jobs=int(knows_jobs),
+            knows_jobs=int(not host.placer.may_lack_jobs(now)),
             servers=len(tables.servers),
             known=sum(
                 self.learned_state.knows(server, now)
@@ -179,16 +177,26 @@
             predecessor_age_s=_format_age(self.predecessors.heard_at, now),
         )
 
-    def _knows_jobs(self, now: float) -> bool:
-        """Returns whether a new placer here knows the jobs of earlier ones."""
+    def _assume_unknown_jobs(self, placer, now: float) -> None:
+        """Lets a new placer here wait if it may lack jobs of earlier ones.
+
+        A placer that was silent before its end may have had other jobs since;
+        other zones tell again of those that run there. One that was silent for
+        longer than a successor takes to claim may not have been the last.
+        """
         last_epoch = self._dispatcher.ownership.superseded_epoch
-        if not last_epoch:
-            # Without a claim in the store there was no earlier placer.
-            reader = self._dispatcher.store_reader
-            return reader.is_directory_read and not reader.is_store_down
-        # A placer that was silent for longer may have had other jobs since.
-        max_age_s = ownership_lib.SILENT_S + CLAIM_MARGIN_S
-        return self.predecessors.knows_jobs(last_epoch, now, max_age_s)
+        reader = self._dispatcher.store_reader
+        if (
+            not last_epoch
+            and reader.is_directory_read
+            and not reader.is_store_down
+        ):
+            return  # without a claim in the store there was no placer
+        age_s = self.predecessors.told_age_s(last_epoch, now)
+        claim_s = ownership_lib.SILENT_S + CLAIM_MARGIN_S
+        if age_s > claim_s:
+            are_local = age_s <= claim_s + ownership_lib.ISOLATED_WAIT_S
+            placer.assume_unknown_jobs(are_local, now)
 
 
 def _format_age(at: float, now: float) -> float | str:
