After a pause, clients that left are seen before jobs are handed over

A dispatcher is paused with a request that it has read; its client leaves. It hands the job over in the first tick, before it reads that, and cancels it in the next one. The placer takes the job as proof that its client waits now, so its leases count from then: 0.9 s later than the client left. In a zone that is cut off, with stops that are lost, the run is alive when the client comes to another zone.

Cause: heartbeats wait for two ticks after a pause so that departures are read first; hand-overs did not.

Change: after a gap between ticks of over 0.15 s the requests are looked at 0.05 s later, once for each such gap that follows an undelayed look.

Result: test_a_job_is_handed_over_after_a_pause_only_if_its_client_waits fails before and passes.

--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -54,6 +54,9 @@
 TICK_BURST_S = 0.02  # of tick time that is spent without a pause
 # A longer gap between ticks means that the process was suspended.
 PROCESS_PAUSE_S = 0.4
+# After a longer gap it is read which clients left meanwhile before any job is
+# handed over: placers take a job as proof that its client waits.
+LATE_TICK_S = IDLE_TICK_INTERVAL_S + peering.LATE_HEARTBEAT_S
 HOUSEKEEPING_INTERVAL_S = 0.5
 LAG_SMOOTHING = 0.4  # weight of the newest sample in the average lag
 # A dispatcher whose event loop lags more than this on average is no candidate
@@ -140,6 +143,8 @@
         factory=lambda: clientlimits.LineLimit(PEER_REJECTED_INTERVAL_S)
     )
     _last_tick_at: float = 0.0
+    _is_intake_late: bool = False
+    _intake_waits_until: float = 0.0
     _tick_budget_s: float = TICK_BURST_S
     _tick_budget_at: float = 0.0
     _peers_checked_at: float = -math.inf
@@ -387,6 +392,13 @@
             self.ownership.handle_process_pause(now)
             if self.placer_host is not None:
                 self.placer_host.resume_after_pause(gap_s)
+        if (
+            self._last_tick_at
+            and gap_s > LATE_TICK_S
+            and not self._is_intake_late
+        ):
+            self._is_intake_late = True
+            self._intake_waits_until = now + peering.LATE_HEARTBEAT_WAIT_S
         self._last_tick_at = now
         if self.placer_host is not None and self.placer_host.is_fenced:
             self.log(events.Event.ZONE_FENCED, epoch=self.ownership.epoch)
@@ -402,7 +414,9 @@
             self.fate_sharing.update_placers(placers)
             self.intake.update_placers(placers, now)
         self.summary_exchange.tick(now)
-        self.intake.tick(now)
+        if now >= self._intake_waits_until:
+            self._is_intake_late = False
+            self.intake.tick(now)
         for order in self.intake.take_orders():
             self._execute(order)
         if self.placer_host is not None:
--- a/acacialine/tests/test_job_fates.py
+++ b/acacialine/tests/test_job_fates.py
@@ -248,13 +248,15 @@
             for dispatcher in self.dispatchers.values():
                 dispatcher._tick(self.now)
 
-    def send(self, name, method, job_id=JOB, queue="work", **step):
+    def send(
+        self, name, method, job_id=JOB, queue="work", handled_s=0.1, **step
+    ):
         """Sends a request of a client and lets it be handled."""
         step = {"count": 2, "cpu": 7000, "estimateMs": 100} | step
         content = {"spec": "s", "steps": [step], "bestEffort": True}
         exchange = Exchange(method, f"/{queue}/{job_id}", content, b"20000")
         ingress.Ingress(self.dispatchers[name]).handle(exchange)
-        self.advance(0.1)
+        self.advance(handled_s)
         return exchange
 
     def starts_of(self, job_id=JOB):
@@ -666,6 +668,17 @@
         self.assertEqual(job.origins, set())
         self.assertLessEqual(job.attended_until(network.now), paused_at)
 
+    def test_a_job_is_handed_over_after_a_pause_only_if_its_client_waits(self):
+        network = self.network
+        leaver = network.send("a2", "POST", handled_s=0.0)
+        network.send("a2", "POST", "00000000000000bb", handled_s=0.0)
+        network.now += 0.3
+        network.advance(TICK_S)
+        leaver.on_disconnect()
+        network.advance(0.2)
+        self.assertEqual(network.starts_of(JOB), [])
+        self.assertEqual(len(network.starts_of("00000000000000bb")), 2)
+
     def test_a_submission_does_not_prove_that_other_clients_wait(self):
         network = self.network
         network.is_cut = True  # no zone confirms the job
