A new placer waits for leases only from when the last one had ended

Cause: the wait counts from the claim, as the last placer may be alive until it is fenced. But its process had ended before the restart, and its leases end 1.1 s after that.

Change: the last placer has ended if its address refuses connections, is that of another process on a link that is open, or is that of this dispatcher. The wait is then for 1.1 s from when the link was opened or refused, or this process served.

--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -100,6 +100,8 @@
         heartbeat_timeout_s: Silence in s after which a member counts as dead.
         stored_claim: Newest claim of another dispatcher in the store: its
             epoch and when it was read.
+        newest_claim: The highest epoch that a dispatcher was known to claim,
+            and its id.
         last_contact_at: When the store or a dispatcher of another zone last
             responded.
         server_count: Number of backend servers of the zone that this
@@ -119,6 +121,7 @@
     my_weight: float = 1.0
     heartbeat_timeout_s: float = SILENT_S
     stored_claim: tuple[int, float] = (0, -1e9)
+    newest_claim: tuple[int, str] = (0, "")
     last_contact_at: float = -1e9
     server_count: int = 0
     awaits_members: bool = False
@@ -155,9 +158,14 @@
         member.is_candidate = is_candidate
         member.weight = weight
         member.server_count = server_count
-        self.highest_epoch = max(self.highest_epoch, claim)
+        self.record_claim(member_id, claim)
         self._highest_heard_epoch = max(self._highest_heard_epoch, claim)
 
+    def record_claim(self, member_id: str, claim: int) -> None:
+        """Records an epoch that a dispatcher claims or claimed; 0 for none."""
+        self.highest_epoch = max(self.highest_epoch, claim)
+        self.newest_claim = max(self.newest_claim, (claim, member_id))
+
     @property
     def awaits_connectivity_proof(self) -> bool:
         """Whether a response from the store or another zone is awaited.
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -274,6 +274,8 @@
         heard_at: Time of the last message; 0 before the first connection.
         heartbeat_at: When `heartbeat` arrived.
         is_refused: Whether the peer's address refused the last connection.
+        found_at: When the connection was opened, or first refused since the
+            last one: no other process has been at the address since.
     """
 
     address: tuple[str, int]
@@ -285,6 +287,7 @@
     heard_at: float = 0.0
     heartbeat_at: float = 0.0
     is_refused: bool = False
+    found_at: float = 0.0
     created_at: float = attrs.field(factory=clock.now)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _outbox: LinkSocket | None = None
@@ -342,7 +345,10 @@
                         self.hub.identity, self.address
                     )
                 except links.NotSentError as error:
+                    was_refused = self.is_refused
                     self.is_refused = isinstance(error, links.RefusedError)
+                    if self.is_refused and not was_refused:
+                        self.found_at = clock.now()
                     self.hub.on_dial_failed(self)
                     await trio.sleep(retry_delay_s)
                     retry_delay_s = min(
@@ -351,6 +357,7 @@
                     continue
                 retry_delay_s = RECONNECT_DELAY_S
                 self.is_refused = False
+                self.found_at = clock.now()
                 await self._run_connection(link)
 
     async def _run_connection(self, link: links.FramedStream) -> None:
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -95,6 +95,7 @@
         new_jobs_wait_until: Jobs that arrive before start no task before.
         unknown_jobs_until: Until when jobs of earlier owners may run of which
             it was not told; no task starts before.
+        last_owner_ended_at: See `assume_unknown_jobs`.
         are_unknown_jobs_local: Whether these run on servers of this zone, so
             that they are known once all of these have listed their runs.
     """
@@ -111,6 +112,7 @@
     last_start_at: float | None = None
     new_jobs_wait_until: float = -1e9
     unknown_jobs_until: float = -1e9
+    last_owner_ended_at: float = math.inf
     are_unknown_jobs_local: bool = False
     shares: fairshare.FairShares = attrs.field(init=False)
     returns: retries.Returns = attrs.field(factory=retries.Returns)
@@ -675,7 +677,9 @@
         self.tables.counters["abandoned"] += 1
         self._end_job(job, None, "deadline", now)
 
-    def assume_unknown_jobs(self, are_local: bool, now: float) -> None:
+    def assume_unknown_jobs(
+        self, are_local: bool, now: float, last_owner_ended_at: float = math.inf
+    ) -> None:
         """Assumes runs of jobs that an earlier owner had and this one lacks.
 
         Any job may be one of them that its client has sent again, here or to
@@ -685,9 +689,15 @@
         Args:
             are_local: See `are_unknown_jobs_local`.
             now: The current time.
+            last_owner_ended_at: Time by which the process of the last owner had
+                ended; infinite if it may be alive.
         """
         self.are_unknown_jobs_local = are_local
-        self.unknown_jobs_until = now + self.lease_times.superseded_owner_s
+        self.last_owner_ended_at = last_owner_ended_at
+        self.unknown_jobs_until = min(
+            now + self.lease_times.superseded_owner_s,
+            last_owner_ended_at + self.lease_times.max_lease_s,
+        )
 
     def may_lack_jobs(self, now: float) -> bool:
         """Returns whether unknown jobs of earlier owners may run."""
@@ -703,7 +713,9 @@
         """
         self.obeyed_since = now
         if self.may_lack_jobs(now):
-            self.assume_unknown_jobs(self.are_unknown_jobs_local, now)
+            self.assume_unknown_jobs(
+                self.are_unknown_jobs_local, now, self.last_owner_ended_at
+            )
         for job in self.tables.jobs.values():
             if job.hold_until:
                 job.hold_until = now + self.runs.lease_times.superseded_owner_s
--- a/acacialine/storereader.py
+++ b/acacialine/storereader.py
@@ -476,7 +476,7 @@
         if record is None or record.zone != dispatcher.zone:
             return
         ownership: ownership_lib.Ownership = dispatcher.ownership
-        ownership.highest_epoch = max(ownership.highest_epoch, record.claim)
+        ownership.record_claim(key, record.claim)
         if record.claim and key != dispatcher.my_id:
             ownership.stored_claim = (record.claim, now)
 
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -10,6 +10,7 @@
 
 from acacialine import clock
 from acacialine import events
+from acacialine import ids
 from acacialine import learnedstate
 from acacialine import messages
 from acacialine import ownership as ownership_lib
@@ -196,7 +197,27 @@
         claim_s = ownership_lib.SILENT_S + CLAIM_MARGIN_S
         if age_s > claim_s:
             are_local = age_s <= claim_s + ownership_lib.ISOLATED_WAIT_S
-            placer.assume_unknown_jobs(are_local, now)
+            placer.assume_unknown_jobs(
+                are_local, now, self._last_placer_ended_at()
+            )
+
+    def _last_placer_ended_at(self) -> float:
+        """Returns when the last placer had ended; infinite if it may live.
+
+        It has if its address is that of another process, or refuses.
+        """
+        ownership = self._dispatcher.ownership
+        epoch, placer_id = ownership.newest_claim
+        if not epoch or epoch < ownership.superseded_epoch:
+            return math.inf
+        address = ids.parse_incarnation(placer_id).address
+        if address == self._dispatcher.identity.incarnation.address:
+            return ownership.started_at
+        link = self._dispatcher.hub.dialled_links.get(address)
+        if link is None:
+            return math.inf
+        is_replaced = link.is_open and link.peer_id != placer_id
+        return link.found_at if is_replaced or link.is_refused else math.inf
 
 
 def _format_age(at: float, now: float) -> float | str:
