E893: a run that was taken to have ended is listed again

The logs can't tell a run that outlives the lease which its placer knows from one that an earlier placer started: both are added as unclaimed runs.

--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -4,6 +4,7 @@
 import unittest
 
 from acacialine import doubtfulruns
+from acacialine import events
 from acacialine import leases
 from acacialine import orders
 from acacialine import placement
@@ -756,6 +757,18 @@
         announced_at = self.announced_at(placer, (0.32, 0.42))
         self.assertEqual(announced_at, [0.42])
 
+    def test_a_run_that_is_listed_after_its_lease_has_ended_is_logged(self):
+        placer = build.placer()
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        self.confirm(placer, [run])
+        placer.tick(1.1)
+        self.assertNotIn(run.id, run.server.runs)
+        row = orders.RunningRow(run.key, run.number, 50)
+        new_orders = self.poll(placer, run.server, 1.5, [row])
+        logged = dict(build.logged(new_orders))
+        fields = logged[events.Event.ZONE_RUN_REAPPEARED]
+        self.assertEqual(fields["ended_ms"], 400)
+
     def test_a_late_start_is_awaited_for_a_limited_time(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         (run,) = build.starts(
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -480,6 +480,19 @@
             progress_at=now,
             is_start_known=False,
         )
+        if run_id in server.recently_ended:
+            self._log(
+                events.Event.ZONE_RUN_REAPPEARED,
+                task=run.key,
+                run=run.number,
+                server=server.id,
+                ended_ms=zonetables.milliseconds(
+                    now - server.recently_ended[run_id]
+                ),
+                life_ms=zonetables.milliseconds(
+                    now - server.incarnation_seen_at
+                ),
+            )
         if row.key in self.tables.live_runs:
             self._log_duplicate(run)
         self.tables.add_run(run)
