--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 # Long tests under a virtual clock; they run beside those with processes.
 SIMULATED_TESTS := $(addprefix acacialine.tests.test_,combined_faults contention core_properties \
 	evacuation job_fates job_fates_properties kept_jobs load_peak lookahead losses \
-	lost_dispatchers placer placer_properties unanswered_orders)
+	lost_dispatchers placer placer_properties restarted_servers \
+	unanswered_orders)
 # Of the tests with processes, those that run after the simulated ones, so that
 # both halves take about as long.
 ZONE_TESTS := acacialine.tests.test_lost_zones
