Soak: requests that outlive a restart of their backend server

The stand-ins executed late orders in the same life of a server only, and its clock did not start anew. PROTOCOL.md: a call that receives no response may be executed seconds later, and a worker that starts again under its id begins its clock anew. A lease is now a time on the clock of an incarnation, at most MAX_LEASE_S from its request, and a poll that waits ends with its server.

server_outlived, in outage plans only, delays starts, stops and polls of a server by 2 to 12 s and restarts it.

--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -94,6 +94,7 @@
 
     def crash(self) -> None:
         """Ends all runs and drops the epoch and all run numbers."""
+        self.server_pool.log(f"{self.id} crashed runs={len(self.runs)}")
         self.incarnation += 1
         self.crash_at = math.inf
         for run in self.runs.values():
@@ -132,6 +133,9 @@
 
     def _end_run(self, run_id, kind: zonetables.EndKind) -> None:
         run = self.runs.pop(run_id)
+        self.server_pool.log(
+            f"{self.id} ended {run.key} run={run.number} how={kind.value}"
+        )
         self.ended_count += 1
         self.ended.append(
             orders.EndedRow(self.ended_count, run.key, run.number, kind)
@@ -158,6 +162,10 @@
         cpu = self.server_pool.job_cpu[run.key.job_id]
         new_run = FakeRun(run.key, run.number, cpu, now, now + length_s)
         self.server_pool.record_start(self, new_run, now)
+        self.server_pool.log(
+            f"{self.id} started {run.key} run={run.number} {epoch=} "
+            f"lease_left_s={self.lease_until - now:.3f}"
+        )
         self.runs[(run.key, run.number)] = new_run
         if run.key in self.server_pool.crashing_tasks:
             self.crash_at = min(self.crash_at, now + CRASH_DELAY_S)
@@ -232,6 +240,7 @@
         late_start_counts: Number of starts of a task after MAX_CRASHES.
         running_counts: Number of present runs, by task key.
         started_jobs: Jobs of which a run has started.
+        log: Called with a line of text for each start, end and crash.
         violations: Each as `LIMIT` (over capacity), `TWICE` (a second run of
             a task at a time) or `BUDGET` (a task that crashes its servers is
             started too often) with details; `zonecluster` adds refusals
@@ -257,6 +266,7 @@
     running_counts: dict = attrs.field(factory=dict)
     started_jobs: set = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
+    log: collections.abc.Callable[[str], None] = lambda _: None
 
     def add(self, server_id: str, cpu: int) -> FakeServer:
         """Adds a backend server."""
--- a/acacialine/tools/soak.py
+++ b/acacialine/tools/soak.py
@@ -53,6 +53,10 @@
     ("", "lost", "lost answer", "late", "unwell"),
     (80, 5, 5, 5, 5),
 )
+# The same for one that restarts before late requests arrive.
+OUTLIVED_OUTCOMES = (("", "outliving"), (85, 15))
+LATE_REQUEST_S = (2.0, 12.0)  # shortest and longest delay of these
+OUTLIVED_DOWN_MAX_S = 1.0
 FaultKind = soakplan.FaultKind
 # What an outage of several dispatchers does to each of them.
 _KIND_BY_OUTAGE = {
@@ -292,6 +296,7 @@
                 | FaultKind.SERVER_DRAIN
                 | FaultKind.SERVER_FLAKY
                 | FaultKind.SERVER_EXPIRED
+                | FaultKind.SERVER_OUTLIVED
             ):
                 await self._inject_server_fault(fault)
             case FaultKind.STORE_PARTIAL:
@@ -418,6 +423,8 @@
                 server.reaches_store = True
             case FaultKind.SERVER_DOWN:
                 await self.cluster.crash_server(fault.target, fault.duration_s)
+            case FaultKind.SERVER_OUTLIVED:
+                await self._restart_before_requests(server, fault.duration_s)
             case FaultKind.SERVER_RESIZE:
                 await self._resize_server(server, fault.duration_s)
             case FaultKind.SERVER_DRAIN:
@@ -446,6 +453,19 @@
                 await trio.sleep(fault.duration_s)
                 server.next_request_outcome = str
 
+    async def _restart_before_requests(self, server, duration_s: float) -> None:
+        """Delays requests to a server, and restarts it before they arrive."""
+        rng = self._random
+        server.next_late_delay_s = lambda: rng.uniform(*LATE_REQUEST_S)
+        server.next_request_outcome = server.next_poll_outcome = lambda: (
+            rng.choices(*OUTLIVED_OUTCOMES)[0]
+        )
+        await trio.sleep(duration_s)
+        server.next_request_outcome = server.next_poll_outcome = str
+        await self.cluster.crash_server(
+            server.fake_server.id, rng.uniform(0.0, OUTLIVED_DOWN_MAX_S)
+        )
+
     def _begin_partial_fault(self, duration_s: float) -> bool:
         """Returns whether the store may stop serving all for some time."""
         if clock.now() < self._resized_until:
--- a/acacialine/tools/soakplan.py
+++ b/acacialine/tools/soakplan.py
@@ -36,6 +36,8 @@
     CLIENT_CUT = "client_cut"  # bytes of proxied clients are held
     # Target: a backend server.
     SERVER_SPLIT = "server_split"  # bytes on connections open now are held
+    # Restarts while requests are on their way, which reach any incarnation.
+    SERVER_OUTLIVED = "server_outlived"
     # Target: a zone.
     ZONE_CUT = "zone_cut"  # cut off from the other zones and the store
     ZONE_PAUSE = "zone_pause"  # all its entries get SIGSTOP, one by one
@@ -99,6 +101,8 @@
 LATER_FAULTS_SHARE = 0.25  # of the rate of the others
 PARTIAL_KINDS = (FaultKind.STORE_PARTIAL, FaultKind.SERVER_EXPIRED)
 PARTIAL_FAULTS_SHARE = 0.5
+OUTLIVED_FAULTS_SHARE = 1.0
+OUTLIVED_MAX_S = 5.0
 PARTIAL_MAX_S = 9.0
 SERIES_LENGTH = 3  # faults in a series
 SERIES_INTERVAL_S = 0.8  # between the starts of two faults of a series
@@ -205,10 +209,27 @@
     faults += _draw_partial_faults(
         seed, seconds, list(servers), faults_per_s * PARTIAL_FAULTS_SHARE
     )
+    faults += _draw_outlived_faults(
+        seed, seconds, list(servers), faults_per_s * OUTLIVED_FAULTS_SHARE
+    )
     faults.sort(key=lambda f: f.at)
     return Plan(seed, seconds, tuple(faults))
 
 
+def _draw_outlived_faults(
+    seed: int, seconds: float, servers: list[str], faults_per_s: float
+) -> list[Fault]:
+    rng = random.Random(f"outlived-{seed}")
+    faults = []
+    at = rng.expovariate(faults_per_s)
+    while at < seconds:
+        duration_s = rng.uniform(1.0, OUTLIVED_MAX_S)
+        target = rng.choice(servers)
+        faults.append(Fault(at, FaultKind.SERVER_OUTLIVED, target, duration_s))
+        at += rng.expovariate(faults_per_s)
+    return faults
+
+
 def _draw_partial_faults(
     seed: int, seconds: float, servers: list[str], faults_per_s: float
 ) -> list[Fault]:
--- a/acacialine/tools/zonecluster.py
+++ b/acacialine/tools/zonecluster.py
@@ -6,6 +6,7 @@
 
 import collections
 import contextlib
+import datetime
 import functools
 import pathlib
 import random
@@ -164,6 +165,7 @@
             entries: Zone of each dispatcher, by name.
             proxied: Whether a fault proxy runs in front of each server.
         """
+        self.fake_servers.log = self._log_server_event
         await self.nursery.start(
             http.new_server(self.store, ("127.0.0.1", self._store_port))
         )
@@ -263,11 +265,17 @@
         route = self.server_routes[server_id]
         server.is_unresponsive = True
         route.set_listening(False)
-        server.crash()
+        server.crash(down_s)
         await trio.sleep(down_s)
         server.is_unresponsive = False
         route.set_listening(True)
 
+    def _log_server_event(self, text: str) -> None:
+        """Writes a line beside the logs of the dispatchers."""
+        at = datetime.datetime.now(datetime.UTC).strftime("%H:%M:%S.%f")
+        with (self.work_dir / "servers.log").open("a") as log:
+            log.write(f"{at[:12]} {text}\n")
+
     async def _end_due_runs(self) -> None:
         while True:
             for server in self.fake_servers.servers.values():
--- a/acacialine/tools/zonestandin.py
+++ b/acacialine/tools/zonestandin.py
@@ -15,6 +15,7 @@
 import trio
 
 from acacialine import clock
+from acacialine import orders
 from acacialine import zonetables
 from acacialine.platform import serverclient
 from acacialine.tools import fakeservers
@@ -24,6 +25,7 @@
 RUN_CHECK_INTERVAL_S = 0.005  # between checks for ended runs
 MAX_POLL_WAIT_S = 2.0
 LATE_REQUEST_DELAY_S = 2.0  # after which a late request is executed
+MAX_LEASE_S = 1.0  # `maxHoldMs` of the platform
 SLOW_STORE_DELAY_S = 0.4  # a hundred times the delay of the platform's store
 
 
@@ -126,10 +128,14 @@
         next_request_outcome: Called once per start or stop request, returns
             what happens to it: `lost answer` executes it without an answer,
             `lost` ignores it, `late` executes it seconds later without an
-            answer, `unwell` answers 503; empty for no fault.
+            answer, `outliving` the same, also in a later incarnation,
+            `unwell` answers 503; empty for no fault.
+        next_poll_outcome: The same per poll, `outliving` or empty.
+        next_late_delay_s: Called once per `outliving` request, returns the time
+            after which it is executed.
         is_unresponsive: Whether it answers no request.
         reaches_store: Whether its records arrive at the store.
-        start_times: Times of the starts.
+        start_times: Times of the starts, without `outliving` ones.
         polls: Number of polls.
     """
 
@@ -138,6 +144,10 @@
     address: tuple[str, int]
     store: FakeStore
     next_request_outcome: collections.abc.Callable[[], str] = str
+    next_poll_outcome: collections.abc.Callable[[], str] = str
+    next_late_delay_s: collections.abc.Callable[[], float] = lambda: (
+        LATE_REQUEST_DELAY_S
+    )
     is_unresponsive: bool = False
     reaches_store: bool = True
     state: str = "ready"
@@ -145,6 +155,7 @@
     polls: int = 0
     _incarnation: int = attrs.field(factory=lambda: round(time.time() * 1000))
     _seq: int = 0
+    _polls_of_incarnation: int = 0
     _incarnation_of_client: dict[object, int] = attrs.field(factory=dict)
 
     async def run_heartbeat(self) -> None:
@@ -207,6 +218,8 @@
             trio.lowlevel.spawn_system_task(
                 self._execute_late, content, execute
             )
+        elif outcome == "outliving":
+            self._execute_in_any_incarnation(content, execute)
         elif outcome != "lost":
             status, reason = execute(content)
         if outcome:
@@ -222,11 +235,40 @@
         if incarnation == self._incarnation:
             execute(content)
 
-    def crash(self) -> None:
-        """Makes the server a new incarnation without state."""
+    def _execute_in_any_incarnation(self, content: dict, execute) -> None:
+        """Executes a request seconds later, unless the server is then down."""
+        incarnation = self._incarnation
+        delay_s = self.next_late_delay_s()
+
+        async def execute_late() -> None:
+            await trio.sleep(delay_s)
+            if self.is_unresponsive:
+                return
+            server = self.fake_server
+            lease_was_until = max(server.lease_until, clock.now())
+            start_count = len(self.start_times)
+            result = execute(content)
+            del self.start_times[start_count:]
+            longer_s = max(0.0, server.lease_until - lease_was_until)
+            server.server_pool.log(
+                f"{server.id} late {execute.__name__} {delay_s=:.3f} "
+                f"sent_to={incarnation} executed_by={self._incarnation} "
+                f"polls_before={self._polls_of_incarnation} "
+                f"runs={len(server.runs)} {longer_s=:.3f} {result} {content}"
+            )
+
+        trio.lowlevel.spawn_system_task(execute_late)
+
+    def crash(self, down_s: float = 0.0) -> None:
+        """Makes the server a new incarnation without state.
+
+        Its clock starts anew, after the time for which it is down.
+        """
         self.fake_server.crash()
+        self.fake_server.clock_origin = clock.now() + down_s
+        self._seq = self._polls_of_incarnation = 0
         self._incarnation = max(
-            self._incarnation + 1, round(time.time() * 1000)
+            self._incarnation + 1, round((time.time() + down_s) * 1000)
         )
 
     def _execute_start(self, content: dict) -> tuple[int, str]:
@@ -240,12 +282,12 @@
             key.job_id, _length_in_spec(content["spec"])
         )
         run_id = _RunId(key, content["run"])
-        lease_until = content["deadlineMs"] / 1000
+        lease_until = self._lease_until(content)
         outcome = self.fake_server.start(
             run_id, content["fencingToken"], lease_until, now
         )
         reasons = {"fenced": "fence", "old_number": "old"}
-        if outcome.value == "started":
+        if outcome == orders.StartOutcome.STARTED:
             self.start_times.append(now)
             return 200, ""
         return 409, reasons.get(outcome.value, "late")
@@ -258,19 +300,31 @@
             return 200, ""
         return 409, "fence"
 
+    def _execute_poll(
+        self, content: dict, lease_until: float | None = None
+    ) -> orders.PollResult | None:
+        if lease_until is None:
+            lease_until = self._lease_until(content)
+        return self.fake_server.poll(
+            content["fencingToken"],
+            content.get("ackedThrough", 0),
+            lease_until,
+            clock.now(),
+        )
+
     async def _handle_poll(self, content: dict, send) -> None:
         self.polls += 1
+        if self.next_poll_outcome() == "outliving":
+            self._execute_in_any_incarnation(content, self._execute_poll)
+            await trio.sleep_forever()
+        self._polls_of_incarnation += 1
+        incarnation = self._incarnation
         answer_by = clock.now() + min(
             content.get("waitMs", 0) / 1000, MAX_POLL_WAIT_S
         )
-        lease_until = content.get("deadlineMs", 0) / 1000
+        lease_until = self._lease_until(content)
         while True:
-            poll_result = self.fake_server.poll(
-                content["fencingToken"],
-                content.get("ackedThrough", 0),
-                lease_until,
-                clock.now(),
-            )
+            poll_result = self._execute_poll(content, lease_until)
             if (
                 poll_result is None
                 or poll_result.ended
@@ -278,6 +332,8 @@
             ):
                 break
             await trio.sleep(RUN_CHECK_INTERVAL_S)
+            if incarnation != self._incarnation:
+                await trio.sleep_forever()  # it has ended with its server
         answer = {"clockMs": self._clock_ms(), "born": self._incarnation}
         if poll_result is None:
             answer["reason"] = "fence"
@@ -299,8 +355,16 @@
         ]
         await http.reply_json(send, 200, answer)
 
+    def _lease_until(self, content: dict) -> float:
+        """Returns when the lease that a request carries ends."""
+        deadline_s = content.get("deadlineMs", 0) / 1000
+        return min(
+            self.fake_server.clock_origin + deadline_s,
+            clock.now() + MAX_LEASE_S,
+        )
+
     def _clock_ms(self) -> int:
-        return round(clock.now() * 1000)
+        return round((clock.now() - self.fake_server.clock_origin) * 1000)
 
 
 @attrs.frozen
