Test of a late poll that keeps a run of the next incarnation alive

A poll that got no response is executed seconds later by the next incarnation of its backend server, whose clock has started anew: deadlineMs lies far ahead there, so all its runs get a lease of full length. Their placer, lost meanwhile, had told nobody of them, and its client starts the job in another zone 1.3 s later.

--- a/acacialine/tests/test_lost_zones.py
+++ b/acacialine/tests/test_lost_zones.py
@@ -53,10 +53,10 @@
 
     def describe(self, cluster):
         """Returns the lines of the logs that tell of the jobs and placers."""
-        words = (JOB, NEIGHBOUR, SHORT_NEIGHBOUR, " zone_")
+        words = (JOB, NEIGHBOUR, SHORT_NEIGHBOUR, " zone_", " late ")
         lines = [
             f"{line[:13]}{name} {line[13:]}"
-            for name in cluster.processes
+            for name in (*cluster.processes, "servers")
             for line in cluster.read_log(name).splitlines()
             if any(word in line for word in words)
         ]
@@ -240,6 +240,30 @@
             {"a1": "a", "a2": "a", "a3": "a", "b1": "b"},
         )
 
+    def test_a_late_poll_keeps_no_run_of_the_next_incarnation_alive(self):
+        late_s = 6.0
+
+        async def scenario(cluster):
+            server = cluster.servers[0]
+            server_id = server.fake_server.id
+            await self.start_job(cluster, "a1", NEIGHBOUR, 0.8)
+            await trio.sleep(0.3)  # until polls renew the lease
+            outcomes = iter(("outliving",))
+            server.next_poll_outcome = lambda: next(outcomes, "")
+            server.next_late_delay_s = lambda: late_s
+            poll_count = server.polls
+            while server.polls == poll_count:
+                await trio.sleep(0.002)
+            arrives_at = trio.current_time() + late_s
+            await cluster.crash_server(server_id, 0.1)
+            await self.wait_for_line(cluster, "a1", " E821 ", server_id)
+            await trio.sleep_until(arrives_at - 0.9)
+            await self.start_job(cluster, "a1", JOB, 3.0)
+            cluster.processes["a1"].kill()
+            await self.send_again(cluster, "b1", trio.current_time(), 3.0)
+
+        self.run_scenario(scenario, ["a", "b"], {"a1": "a", "b1": "b"})
+
     def test_a_job_whose_own_zone_is_lost_but_for_a_new_dispatcher(self):
         async def restart(cluster, successor):
             cluster.processes[successor].kill()
