Stand-ins take the lease of a start that they refuse as old

PROTOCOL.md: deadlineMs is also taken from a start that receives `old` or `room`. The stand-ins, used by simulations too, did not. On the clock of one incarnation the deadline of a late start has passed; a later one has another clock.

--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -155,6 +155,8 @@
         if (run.key, run.number) in self.runs:
             return orders.StartOutcome.STARTED
         if run.number <= self.highest_numbers.get(run.key, 0):
+            if self.runs:
+                self.lease_until = max(self.lease_until, lease_until)
             return orders.StartOutcome.OLD_NUMBER
         self.highest_numbers[run.key] = run.number
         self.lease_until = max(self.lease_until, lease_until)
