A restarted backend server refuses orders for its earlier incarnation

Callers saw a task run twice at once, or a backend server over its capacity: a run outlived the lease that its placer knew, while its client was back in another zone or its capacity was given to the next job.

Cause: the end of a lease is a time on the clock of one incarnation. A poll or start that got no response may be carried out seconds later by the next incarnation under the same id, where that time lies far ahead, so the server gives its longest lease to all that runs there. A start that it refuses as old gives it too. What a poll acknowledges are numbers of ends of the earlier incarnation as well.

The fencing token of a server now rises by one when the server is seen to have restarted, or is removed from the list, which gives a later one of its id a higher token. A server does nothing for a lower token, so no earlier order has an effect after the first poll with the new one. Nothing starts before that poll is answered, and its runs are taken to have the longest lease from then on, as a late order may just have given it. A refusal of an older token is not taken for another owner. Epochs of two claims lie 2^18 apart or are random in 18 bits, so tokens stay below those of a successor.

--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -642,7 +642,10 @@
             case None:
                 poller.retry_s = POLL_RETRY_S
                 poller.not_before = 0.0
-                is_outdated = poller.polled_at < self.placer.runs.resumed_at
+                is_outdated = (
+                    poller.polled_at < self.placer.runs.resumed_at
+                    or server.has_older_token(poller.polled_at)
+                )
                 if not server.runs_listed and not is_outdated:
                     poller.not_before = now + UNANNOUNCED_POLL_INTERVAL_S
                 if server.last_ended_seq == poller.polled_seq:
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -132,7 +132,7 @@
     server that has crashed must not extend the leases there.
 
     Attributes:
-        epoch: Epoch of the owner.
+        epoch: Epoch of the owner, the lowest of its fencing tokens.
         lease_s: Length in s of the leases that requests carry.
         observer: Receives the results.
         response_times: Response times of orders and listings.
@@ -173,6 +173,11 @@
             )
         )
 
+    @property
+    def fencing_token(self) -> int:
+        """Number that the server compares with the highest it has seen."""
+        return self.epoch + self.server.fencing_offset
+
     @property
     def address(self) -> tuple[str, int]:
         """The address that requests are sent to."""
@@ -214,12 +219,18 @@
             "run": run.number,
             "spec": run.job.spec,
             "deadlineMs": lease.deadline_ms,
-            "fencingToken": self.epoch,
+            "fencingToken": self.fencing_token,
         }
 
         def on_reply(reply: httppool_lib.Reply) -> None:
             self.response_times.record(clock.now() - call.sent_at)
-            self.observer.handle_start_outcome(run, _start_outcome(reply))
+            outcome = _start_outcome(reply)
+            if (
+                outcome == orders.StartOutcome.FENCED
+                and self.server.has_older_token(now)
+            ):
+                outcome = orders.StartOutcome.NOT_STARTED
+            self.observer.handle_start_outcome(run, outcome)
 
         def on_overdue() -> None:
             self.observer.handle_start_outcome(run, orders.StartOutcome.UNKNOWN)
@@ -253,7 +264,7 @@
         body = {
             "task": str(run.key),
             "run": run.number,
-            "fencingToken": self.epoch,
+            "fencingToken": self.fencing_token,
         }
 
         def on_reply(reply: httppool_lib.Reply) -> None:
@@ -384,7 +395,7 @@
     ) -> bytes:
         self.poll_count += 1
         content = {
-            "fencingToken": self.epoch,
+            "fencingToken": self.fencing_token,
             "ackedThrough": self.server.last_ended_seq,
         }
         if lease is not None:
@@ -415,6 +426,8 @@
             PollError: The response contains no result.
         """
         if reply.status == 409 and _reason(reply) == "fence":
+            if self.server.has_older_token(sent_at):
+                raise PollError("it has a higher token of this owner")
             raise FencedError
         if reply.status == 421 and not self.server.may_be_outdated(sent_at):
             raise ReplacedError("another incarnation has its address")
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -93,6 +93,29 @@
 
         support.run(scenario)
 
+    def test_a_refused_older_token_tells_of_no_other_owner(self):
+        async def scenario():
+            placer = build.placer()
+            (server,) = placer.tables.servers.values()
+
+            async def answer(stream):
+                await stream.receive_some(65536)
+                placer.tables.fence(server, clock.now())
+                await stream.send_all(
+                    b"HTTP/1.1 409 Conflict\r\nContent-Length: 18\r\n\r\n"
+                    b'{"reason":"fence"}'
+                )
+
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                server.address = listeners[0].socket.getsockname()
+                nursery.start_soon(trio.serve_listeners, answer, listeners)
+                error = await poll(server)
+                self.assertIsInstance(error, serverclient.PollError)
+                nursery.cancel_scope.cancel()
+
+        support.run(scenario)
+
     def test_an_outdated_421_does_not_tell_that_a_server_was_replaced(self):
         async def scenario():
             placer = build.placer()
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -16,6 +16,7 @@
 
 ANSWER_TIMEOUT_S = 0.25  # a later response has no effect
 LEASE_S = 1.0
+EPOCH_DISTANCE = 1 << 18  # between the fencing tokens of two owners
 
 
 class Network:
@@ -172,6 +173,9 @@
         self.zone = zone
         self.read_servers(now)
 
+    def fencing_token(self, server):
+        return self.epoch * EPOCH_DISTANCE + server.fencing_offset
+
     def read_servers(self, now):
         """Applies the list of backend servers as they announce themselves."""
         announced = [
@@ -248,6 +252,7 @@
                 lambda at: self.placer.runs.record_poll_timeout(server, at),
             )
         delays = simulation.draw_poll_delays()
+        token = self.fencing_token(server)
         last_ended_seq = server.last_ended_seq
         answered = []
 
@@ -268,16 +273,15 @@
             until = 0.0
             if lease is not None:
                 until = simulation.lease_end(fake, lease, since, arrived_at)
-            observation = fake.poll(
-                self.epoch, last_ended_seq, until, arrived_at
-            )
+            observation = fake.poll(token, last_ended_seq, until, arrived_at)
 
             def on_reply(received_at):
                 if self.is_closed or simulation.is_cut_off(server.id):
                     return
                 answered.append(True)
                 if observation is None:
-                    self._handle_fenced()
+                    if not server.has_older_token(now):
+                        self._handle_fenced()
                     return
                 self.placer.runs.apply_poll(
                     server, observation, now, received_at
@@ -305,6 +309,7 @@
         run.server.lease_until = max(run.server.lease_until, lease.ends_by)
         simulation.server_pool.job_cpu[run.key.job_id] = run.demand.cpu
         delays = simulation.draw_delays()
+        token = self.fencing_token(run.server)
         has_outcome = []
 
         incarnation = fake.incarnation
@@ -313,7 +318,7 @@
             if simulation.is_lost(run, incarnation, arrived_at):
                 return
             until = simulation.lease_end(fake, lease, since, arrived_at)
-            outcome = fake.start(run, self.epoch, until, arrived_at)
+            outcome = fake.start(run, token, until, arrived_at)
 
             def on_reply(received_at):
                 if (
@@ -323,12 +328,12 @@
                 ):
                     return
                 has_outcome.append(True)
-                if outcome == orders.StartOutcome.FENCED:
-                    self._handle_fenced()
-                else:
+                if outcome != orders.StartOutcome.FENCED:
                     self.placer.runs.handle_start_result(
                         run, outcome, received_at
                     )
+                elif not run.server.has_older_token(now):
+                    self._handle_fenced()
 
             simulation.send_reply(delays, on_reply)
 
@@ -348,12 +353,13 @@
 
         incarnation = fake.incarnation
         known_incarnation = run.server.incarnation
+        token = self.fencing_token(run.server)
         answered = []
 
         def deliver(arrived_at):
             if simulation.is_lost(run, incarnation, arrived_at):
                 return
-            confirmed = fake.stop(run, self.epoch, arrived_at)
+            confirmed = fake.stop(run, token, arrived_at)
 
             def on_reply(received_at):
                 if self.is_closed or simulation.is_cut_off(fake.id):
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -342,13 +342,15 @@
             server.incarnation = poll_result.incarnation
             server.incarnation_seen_at = now
         self.outliers.record_response(server, now)
-        if not server.clock_at:
-            # An earlier owner may just have renewed its leases.
+        self.crashes.retract(server, now)
+        if server.has_older_token(polled_at):
+            return  # late orders may still change what it lists
+        if not server.clock_at or server.clock_at <= server.fenced_at:
+            # An earlier owner or a late order may just have renewed its leases.
             server.lease_until = max(
                 server.lease_until, now + self.lease_times.max_lease_s
             )
         leases.observe_clock(server, poll_result.server_clock_ms, now)
-        self.crashes.retract(server, now)
         for row in poll_result.ended:
             self._record_end(server, row, now)
         renewed_at = leases.attended_until(server, polled_at)
@@ -418,6 +420,8 @@
         server.slowness = 1.0
         server.failure_rate = 0.0
         server.runs_listed = False
+        leases.observe_clock(server, poll_result.server_clock_ms, now)
+        self.tables.fence(server, now)
         self.doubtful.hold_late_starts(server, now)
 
     def _record_end(
@@ -563,7 +567,7 @@
             announced_ids.add(listed_server.id)
             server = tables.servers.get(listed_server.id)
             if server is None:
-                tables.servers[listed_server.id] = listed_server
+                tables.add_server(listed_server)
                 continue
             self._update_server(server, listed_server, now)
         for server in list(tables.servers.values()):
@@ -572,7 +576,7 @@
             server.is_in_store = False
             doubtfulruns.drop_late_starts(server, now)
             if not server.runs and not server.late_starts:
-                del tables.servers[server.id]
+                tables.remove_server(server)
 
     def _update_server(
         self,
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -208,6 +208,9 @@
             it; 0 before the first poll.
         incarnation_seen_at: When the first response of its incarnation arrived.
         announced_incarnation: Incarnation that the store announces; 0 if none.
+        fencing_offset: Added to the epoch of this placer in the fencing tokens
+            of requests to the server; see `ZoneTables.fence`.
+        fenced_at: When that last rose because the server had restarted.
         runs_listed: Whether a poll has listed its runs since this placer
             became its owner, the server restarted or this process was
             suspended.
@@ -253,6 +256,8 @@
     incarnation: int = 0
     incarnation_seen_at: float = 0.0
     announced_incarnation: int = 0
+    fencing_offset: int = 0
+    fenced_at: float = -1e9
     runs_listed: bool = False
     used: resources_lib.Resources = resources_lib.NO_RESOURCES
     free: resources_lib.Resources = attrs.field(init=False)
@@ -293,6 +298,10 @@
         """
         return sent_at < self.incarnation_seen_at
 
+    def has_older_token(self, sent_at: float) -> bool:
+        """Returns whether a request has a token from before a restart."""
+        return sent_at <= self.fenced_at
+
     def occupy(self, demand: resources_lib.Resources) -> None:
         """Takes a demand from the free capacity."""
         self.used = self.used + demand
@@ -530,6 +539,7 @@
             its session. One that is missing counts as alive.
         zones_heard_at: Latest time at which the placer of another zone, which
             has confirmed notices, certainly lived, by zone.
+        fencing_offset: Highest fencing offset of any server so far.
     """
 
     zone: str
@@ -548,6 +558,32 @@
     fates: jobfates.JobFates = attrs.field(factory=jobfates.JobFates)
     origins_heard_at: dict = attrs.field(factory=dict)
     zones_heard_at: dict[str, float] = attrs.field(factory=dict)
+    fencing_offset: int = 0
+
+    def add_server(self, server: Server) -> None:
+        """Adds a server, which may have been removed earlier."""
+        server.fencing_offset = self.fencing_offset
+        self.servers[server.id] = server
+
+    def remove_server(self, server: Server) -> None:
+        """Removes a server.
+
+        Should it be added again, it refuses what was sent to it until now.
+        """
+        self.fencing_offset += 1
+        del self.servers[server.id]
+
+    def fence(self, server: Server, now: float) -> None:
+        """Raises the fencing tokens of a restarted server.
+
+        Orders for its earlier incarnations may reach the new one late. Their
+        leases are times on the clock of another incarnation, so they would hold
+        for longer than they should. The new incarnation refuses them from the
+        first request with a higher token on.
+        """
+        self.fencing_offset += 1
+        server.fencing_offset = self.fencing_offset
+        server.fenced_at = now
 
     def add_run(self, run: Run) -> None:
         """Adds a run and occupies the capacity that it demands."""
