A server that may start a run late is polled, so its restart is seen

Callers could see a task run twice at once: a start that got no response was resolved, its task ran elsewhere, and 1.5 s later the next incarnation of the first server carried it out.

Cause: a server without runs is not polled, so its restart was unknown until the store announced it, and for that long its next incarnation had no higher fencing token. The simulation polls all servers every 0.1 s, which hid it.

The poll in flight breaks with the server, and the next one fences the new incarnation.

--- a/acacialine/doubtfulruns.py
+++ b/acacialine/doubtfulruns.py
@@ -205,6 +205,12 @@
     return False
 
 
+def may_carry_out_orders(server: zonetables.Server, now: float) -> bool:
+    """Returns whether a server runs tasks or may start some late."""
+    drop_late_starts(server, now)
+    return bool(server.runs or server.late_starts)
+
+
 def drop_late_starts(server: zonetables.Server, now: float) -> None:
     """Forgets the starts that have no effect any more, oldest first."""
     while server.late_starts:
--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from acacialine import doubtfulruns
 from acacialine import orders
 from acacialine import placerhost
 from acacialine.tests import zonebuilders as build
@@ -156,6 +157,15 @@
         self.assertTrue(self.poller.in_flight)  # the long poll goes on
         self.assertEqual(self.poller.client.listings, [1.021])
 
+    def test_an_idle_server_is_polled_while_it_may_start_a_run_late(self):
+        run = self.lose_start()
+        self.placer.tables.remove_run(run, 1.1)
+        self.server.late_starts[run.id] = run
+        for now in (2.0, 1.0 + doubtfulruns.MAX_ORDER_DELAY_S):
+            self.poller.in_flight = False
+            self.host._poll_if_due(self.poller, now)
+        self.assertEqual(len(self.poller.client.polls), 1)
+
     def test_a_listing_without_a_response_is_repeated_a_few_times(self):
         run = self.lose_start()
         self.handle(1.021, self.host.handle_stop_outcome, run, True)
--- a/acacialine/tests/test_restarted_servers.py
+++ b/acacialine/tests/test_restarted_servers.py
@@ -14,6 +14,7 @@
 from acacialine.tests import test_lost_dispatchers
 
 EXAMPLES = int(os.environ.get("ACACIALINE_EXAMPLES", "25"))
+JOB = test_lost_dispatchers.JOB
 RESTART_RATE = 0.004
 
 
@@ -42,6 +43,45 @@
         self.note_zone(f"{server.id} restarts")
 
 
+class ScriptedSimulation(test_lost_dispatchers.ScriptedSimulation):
+    """Scripted zones with late starts, in which idle servers aren't polled."""
+
+    outlives_servers = True
+    polls_idle_servers = False
+    ORDER_TIMEOUT_S = 0.03
+    DISCOVERY_S = 0.0
+    LATE_START_S = 1.5
+    starts_late_until = 0.0
+
+    def draw_delays(self):
+        if self.now < self.starts_late_until:
+            return self.LATE_START_S, None
+        return super().draw_delays()
+
+    def draw_poll_delays(self):
+        return super().draw_delays()
+
+    def draw_stop_delays(self, run):
+        return super().draw_delays()
+
+
+class IdleServersTest(unittest.TestCase):
+    def test_an_idle_server_that_has_restarted_starts_no_task_late(self):
+        simulation = ScriptedSimulation()
+        simulation.starts_late_until = 0.22
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.6)
+        (idle,) = (s for s in simulation.servers_of("zone-a") if not s.runs)
+        simulation.server_pool.down_s = 0.2
+        simulation.server_pool.resets_clocks = True
+        idle.crash_at = simulation.now
+        simulation.run_until(4.0)
+        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        self.assertEqual(simulation.late_orders, 1)
+        text = simulation.describe_violations()
+        self.assertEqual(simulation.server_pool.violations, [], text)
+
+
 class RestartedServersTest(unittest.TestCase):
     def check(self, seed):
         simulation = Simulation(seed).run()
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -29,9 +29,12 @@
         policy: Policy of the placers; None for that without settings.
         cut_off_until: Until when a backend server is cut off, by its id.
         late_orders: Number of orders that reached a later incarnation.
+        polls_idle_servers: Whether servers without runs are polled, unlike by
+            `placerhost`.
     """
 
     outlives_servers = False
+    polls_idle_servers = True
     ORDER_TIMEOUT_S = ANSWER_TIMEOUT_S  # an order is then overdue
     DUPLICATE_S = 0.05  # longest time until a response arrives again
     DUPLICATE_RATE = 0.0
@@ -193,6 +196,12 @@
         for server in list(self.placer.tables.servers.values()):
             if now < self.unreachable_until.get(server.id, 0.0):
                 continue
+            if (
+                server.runs_listed
+                and not self.simulation.polls_idle_servers
+                and not doubtfulruns.may_carry_out_orders(server, now)
+            ):
+                continue
             if now >= self.next_poll.get(server.id, 0.0):
                 self.next_poll[server.id] = now + 0.1
                 self._poll(server, now)
