Tests of late requests at a restarted server that is cut off

A poll or start without a response is executed by the next incarnation of its server and gives a lease there that its placer does not know. The server is cut off meanwhile; the placer ends its run when the lease that it knows is over, and starts the task on another server of the zone.

--- a/acacialine/tests/test_lost_zones.py
+++ b/acacialine/tests/test_lost_zones.py
@@ -241,50 +241,75 @@
             {"a1": "a", "a2": "a", "a3": "a", "b1": "b"},
         )
 
-    def run_late_request(self, send_late):
-        """Loses a zone just before a request reaches its restarted server.
+    async def start_before_late_request(self, cluster, send_late):
+        """Starts a job just before a request reaches its restarted server.
 
         Args:
-            send_late: Called with the cluster and its server; returns when a
+            cluster: A zone of one server and one dispatcher, and maybe others.
+            send_late: Called with the cluster and that server; returns when a
                 request is sent that the server executes LATE_S later.
         """
+        server = cluster.servers[0]
+        server_id = server.fake_server.id
+        server.next_late_delay_s = lambda: LATE_S
+        await self.start_job(cluster, "a1", NEIGHBOUR, 0.8)
+        await trio.sleep(0.3)  # until polls renew the lease
+        await send_late(cluster, server)
+        arrives_at = trio.current_time() + LATE_S
+        await trio.sleep(0.2)  # until what got no response is resolved
+        await cluster.crash_server(server_id, 0.1)
+        await self.wait_for_line(cluster, "a1", " E821 ", server_id)
+        await trio.sleep_until(arrives_at - 0.9)
+        await self.start_job(cluster, "a1", JOB, 2.2)
+
+    def run_late_request(self, send_late):
+        """Loses the zone of that job."""
 
         async def scenario(cluster):
-            server = cluster.servers[0]
-            server_id = server.fake_server.id
-            server.next_late_delay_s = lambda: LATE_S
-            await self.start_job(cluster, "a1", NEIGHBOUR, 0.8)
-            await trio.sleep(0.3)  # until polls renew the lease
-            await send_late(cluster, server)
-            arrives_at = trio.current_time() + LATE_S
-            await trio.sleep(0.2)  # until what got no response is resolved
-            await cluster.crash_server(server_id, 0.1)
-            await self.wait_for_line(cluster, "a1", " E821 ", server_id)
-            await trio.sleep_until(arrives_at - 0.9)
-            await self.start_job(cluster, "a1", JOB, 2.2)
+            await self.start_before_late_request(cluster, send_late)
             cluster.processes["a1"].kill()
             await self.send_again(cluster, "b1", trio.current_time(), 2.2)
 
         self.run_scenario(scenario, ["a", "b"], {"a1": "a", "b1": "b"})
 
-    def test_a_late_poll_keeps_no_run_of_the_next_incarnation_alive(self):
-        async def poll_late(_, server):
-            outcomes = iter(("outliving",))
-            server.next_poll_outcome = lambda: next(outcomes, "")
-            poll_count = server.polls
-            while server.polls == poll_count:
-                await trio.sleep(0.002)
+    def run_late_request_cut_off(self, send_late):
+        """Cuts the server of that job off."""
+
+        async def scenario(cluster):
+            await self.start_before_late_request(cluster, send_late)
+            cluster.server_routes["i-0"].hold(True, False)
+            await cluster.add_server("i-1", "a")
+            while not any(
+                exchange.job_id == JOB for exchange in cluster.exchanges
+            ):
+                await trio.sleep(0.01)
+
+        self.run_scenario(scenario, ["a"], {"a1": "a"})
+
+    async def poll_late(self, _, server):
+        outcomes = iter(("outliving",))
+        server.next_poll_outcome = lambda: next(outcomes, "")
+        poll_count = server.polls
+        while server.polls == poll_count:
+            await trio.sleep(0.002)
 
-        self.run_late_request(poll_late)
+    async def start_late(self, cluster, server):
+        outcomes = iter(("outliving",))
+        server.next_request_outcome = lambda: next(outcomes, "")
+        self.send_job(cluster, "a1", SHORT_NEIGHBOUR, 0.1)
+        await self.wait_for_line(cluster, "a1", " E812 ", SHORT_NEIGHBOUR)
+
+    def test_a_late_poll_keeps_no_run_of_the_next_incarnation_alive(self):
+        self.run_late_request(self.poll_late)
 
     def test_a_late_start_keeps_no_run_of_the_next_incarnation_alive(self):
-        async def start_late(cluster, server):
-            outcomes = iter(("outliving",))
-            server.next_request_outcome = lambda: next(outcomes, "")
-            self.send_job(cluster, "a1", SHORT_NEIGHBOUR, 0.1)
-            await self.wait_for_line(cluster, "a1", " E812 ", SHORT_NEIGHBOUR)
+        self.run_late_request(self.start_late)
+
+    def test_a_late_poll_keeps_no_run_alive_that_is_cut_off(self):
+        self.run_late_request_cut_off(self.poll_late)
 
-        self.run_late_request(start_late)
+    def test_a_late_start_keeps_no_run_alive_that_is_cut_off(self):
+        self.run_late_request_cut_off(self.start_late)
 
     def test_a_job_whose_own_zone_is_lost_but_for_a_new_dispatcher(self):
         async def restart(cluster, successor):
