--- a/acacialine/tools/soakplan.py
+++ b/acacialine/tools/soakplan.py
@@ -103,6 +103,9 @@
 PARTIAL_FAULTS_SHARE = 0.5
 OUTLIVED_FAULTS_SHARE = 1.0
 OUTLIVED_MAX_S = 5.0
+# It is cut off for a time while the late requests arrive.
+OUTLIVED_CUT_DELAY_MAX_S = 10.0
+OUTLIVED_CUT_MAX_S = 3.0
 PARTIAL_MAX_S = 9.0
 SERIES_LENGTH = 3  # faults in a series
 SERIES_INTERVAL_S = 0.8  # between the starts of two faults of a series
@@ -226,6 +229,10 @@
         duration_s = rng.uniform(1.0, OUTLIVED_MAX_S)
         target = rng.choice(servers)
         faults.append(Fault(at, FaultKind.SERVER_OUTLIVED, target, duration_s))
+        cut_at = at + duration_s + rng.uniform(0.0, OUTLIVED_CUT_DELAY_MAX_S)
+        cut_s = rng.uniform(0.5, OUTLIVED_CUT_MAX_S)
+        if cut_at < seconds:
+            faults.append(Fault(cut_at, FaultKind.SERVER_CUT, target, cut_s))
         at += rng.expovariate(faults_per_s)
     return faults
 
