--- a/acacialine/tests/test_lost_zones.py
+++ b/acacialine/tests/test_lost_zones.py
@@ -269,6 +269,7 @@
             await self.start_before_late_request(cluster, send_late)
             cluster.processes["a1"].kill()
             await self.send_again(cluster, "b1", trio.current_time(), 2.2)
+            self.check_late_request(cluster)
 
         self.run_scenario(scenario, ["a", "b"], {"a1": "a", "b1": "b"})
 
@@ -283,9 +284,16 @@
                 exchange.job_id == JOB for exchange in cluster.exchanges
             ):
                 await trio.sleep(0.01)
+            self.check_late_request(cluster)
 
         self.run_scenario(scenario, ["a"], {"a1": "a"})
 
+    def check_late_request(self, cluster):
+        """Checks that the late request found a run in the new incarnation."""
+        lines = cluster.read_log("servers").splitlines()
+        (line,) = [line for line in lines if " i-0 late " in line]
+        self.assertIn(" runs=1 ", line)
+
     async def poll_late(self, _, server):
         outcomes = iter(("outliving",))
         server.next_poll_outcome = lambda: next(outcomes, "")
