Messages that a partition held up are dated by their sender's clock

Callers could see a job run twice at once in two zones: its dispatcher was killed while a partition of less than 1 s held its bytes up, which arrived after it. Its job's lease was renewed, while the client was already back in another zone.

Cause: a placer dated heartbeats and submissions by their arrival. So did a candidate with what the placer of its zone told of its jobs.

Heartbeats and submissions now tell when they were sent, in a word after the message, so a heartbeat is still encoded once for all links and decoded once while it stays the same. A message without the time is dated as before; earlier releases ignore the word, but decode each heartbeat that has it.

--- a/acacialine/acacialine.capnp
+++ b/acacialine/acacialine.capnp
@@ -290,6 +290,7 @@
   services @6 :List(ServiceSummary);
 }
 
+# A word after the message may tell when it was sent, see `codec.encode_time`.
 struct Frame {
   requestId @0 :UInt64;  # 0 for a one-way message
   union {
--- a/acacialine/codec.py
+++ b/acacialine/codec.py
@@ -18,6 +18,9 @@
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("acacialine.capnp")))
 MAX_TRAVERSAL_WORDS = 1 << 24  # in 8-byte words: 128 MB per decoded frame
 WORD_BYTES = 8
+# A word in the packed encoding whose bytes are all literal, and no more words.
+_TIME_PREFIX, _TIME_SUFFIX = b"\xff", b"\x00"
+TIME_BYTES = len(_TIME_PREFIX) + WORD_BYTES + len(_TIME_SUFFIX)
 # Positions of the bytes of a word that are not zero, by its tag.
 _LITERAL_BYTES = tuple(
     tuple(i for i in range(WORD_BYTES) if tag >> i & 1) for tag in range(256)
@@ -95,14 +98,41 @@
         request_id: Number of the request that the message makes or answers;
             0 for a one-way message.
         message: The message.
+        sent_at: When it was sent, by the clock of its sender; None if unknown.
     """
 
     request_id: int
     message: messages.Message
+    sent_at: float | None = None
+
+
+def encode_time(at: float) -> bytes:
+    """Encodes the time of sending, to be appended to an encoded frame.
+
+    It is outside of the message, so that a frame can be encoded once and sent
+    several times. Receivers that do not know of it ignore it.
+    """
+    word = round(at * 1e6).to_bytes(WORD_BYTES, "little", signed=True)
+    return _TIME_PREFIX + word + _TIME_SUFFIX
+
+
+def decode_time(data: bytes) -> float | None:
+    """Decodes what `encode_time` returned; None if it is anything else."""
+    if (
+        len(data) != TIME_BYTES
+        or not data.startswith(_TIME_PREFIX)
+        or not data.endswith(_TIME_SUFFIX)
+    ):
+        return None
+    return _read_time(data[len(_TIME_PREFIX) : -len(_TIME_SUFFIX)])
+
+
+def _read_time(word: bytes) -> float:
+    return int.from_bytes(word, "little", signed=True) / 1e6
 
 
 def encode(frame: Frame) -> bytes:
-    """Encodes a frame without its length prefix."""
+    """Encodes a frame without its length prefix and its time of sending."""
     name = _NAMES_BY_CLASS[type(frame.message)]
     builder = _SCHEMA.Frame.new_message()
     builder.requestId = frame.request_id
@@ -132,20 +162,34 @@
         errors.PeerError: The bytes are not a frame with a known message.
     """
     try:
+        words = _unpack(data)
         with _SCHEMA.Frame.from_bytes(
-            _unpack(data), traversal_limit_in_words=MAX_TRAVERSAL_WORDS
+            words, traversal_limit_in_words=MAX_TRAVERSAL_WORDS
         ) as reader:
             name = str(reader.which())
             mapping = _MAPPINGS_BY_NAME.get(name)
             if mapping is None:
                 raise errors.PeerError("frame without a known message")
             message = _read_message(mapping, getattr(reader, name))
-            return Frame(reader.requestId, message)
+            sent_at = None
+            if len(words) == _message_bytes(words) + WORD_BYTES:
+                sent_at = _read_time(words[-WORD_BYTES:])
+            return Frame(reader.requestId, message, sent_at)
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         reason = str(error).splitlines()[0]
         raise errors.PeerError(f"malformed frame: {reason}") from error
 
 
+def _message_bytes(data: bytes) -> int:
+    """Returns the size of a message that begins with its segment table."""
+    segments = 1 + int.from_bytes(data[:4], "little")
+    table = data[4 : 4 + 4 * segments]
+    words = segments // 2 + 1
+    for start in range(0, len(table), 4):
+        words += int.from_bytes(table[start : start + 4], "little")
+    return words * WORD_BYTES
+
+
 def _unpack(data: bytes) -> bytes:
     """Expands the packed encoding of Cap'n Proto.
 
--- a/acacialine/dispatcher.py
+++ b/acacialine/dispatcher.py
@@ -688,7 +688,9 @@
         match message:
             case messages.ZoneState():
                 if self.placer_host is not None:
-                    self.placer_host.record_heard(session.outbox)
+                    self.placer_host.record_heard(
+                        session.outbox, session.sent_at
+                    )
                 session.zone = message.zone
                 self._receive_zone_state(message)
                 self.zone_handover.record_told(session, message)
@@ -709,7 +711,7 @@
             case messages.SubmitJob() if self.placer_host is not None:
                 submission = placerhost.decode_submission(message)
                 self.placer_host.submit(
-                    submission, session.outbox, session.zone
+                    submission, session.outbox, session.zone, session.sent_at
                 )
             case messages.SubmitJob():
                 session.outbox.post(
--- a/acacialine/links.py
+++ b/acacialine/links.py
@@ -14,6 +14,7 @@
 import attrs
 import trio
 
+from acacialine import clock
 from acacialine import codec
 from acacialine import errors
 from acacialine import ids
@@ -47,13 +48,19 @@
 
 @attrs.define(eq=False)
 class FramedStream:
-    """Length-prefixed frames over a byte stream."""
+    """Length-prefixed frames over a byte stream.
+
+    Attributes:
+        sent_at: When the last frame was given to the stream.
+    """
 
     stream: trio.abc.Stream
+    sent_at: float = 0.0
     _buffer: bytearray = attrs.field(factory=bytearray)
 
     async def send_frame(self, data: bytes) -> None:
         """Sends one frame."""
+        self.sent_at = clock.now()
         await self.stream.send_all(
             len(data).to_bytes(LENGTH_BYTES, "big") + data
         )
--- a/acacialine/peering.py
+++ b/acacialine/peering.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import math
 import socket
 
 import attrs
@@ -19,6 +20,7 @@
 from acacialine import ids
 from acacialine import links
 from acacialine import messages
+from acacialine import sendtimes
 
 # Intervals of the heartbeats on a dialled link, by its importance.
 FAST_HEARTBEAT_INTERVAL_S = 0.15  # between candidates for the placer
@@ -155,34 +157,47 @@
 
 def encode_frame(message: messages.Message) -> bytes:
     """Encodes a message with its length."""
-    data = codec.encode(codec.Frame(0, message))
+    return _add_length(codec.encode(codec.Frame(0, message)))
+
+
+def _encode_dated_frame(data: bytes, now: float) -> bytes:
+    return _add_length(data + codec.encode_time(now))
+
+
+def _add_length(data: bytes) -> bytes:
     return len(data).to_bytes(links.LENGTH_BYTES, "big") + data
 
 
 class _HeartbeatDecoder:
     """Decodes the frames of one link; equal heartbeats only once.
 
-    Most heartbeats equal the one before, and decoding costs more than all else
-    that is done with them.
+    Most heartbeats equal the one before but for the time of sending, and
+    decoding costs more than all else that is done with them.
     """
 
     def __init__(self):
-        self._last_frame = b""
+        self._last_data = b""  # without the time of sending
         self._last_heartbeat: messages.ZoneState | None = None
 
-    def decode(self, frame: bytes) -> tuple[messages.Message, bool]:
-        """Returns a message and whether it equals the last heartbeat.
+    def decode(self, data: bytes) -> tuple[codec.Frame, bool]:
+        """Returns a frame and whether it equals the last heartbeat.
 
         Raises:
             errors.PeerError: The frame is malformed.
         """
-        if frame == self._last_frame:
-            return self._last_heartbeat, True
-        message = codec.decode(frame).message
-        if isinstance(message, messages.ZoneState):
-            self._last_frame = frame
-            self._last_heartbeat = message
-        return message, False
+        if self._last_heartbeat is not None and data.startswith(
+            self._last_data
+        ):
+            rest = data[len(self._last_data) :]
+            sent_at = codec.decode_time(rest)
+            if sent_at is not None or not rest:
+                return codec.Frame(0, self._last_heartbeat, sent_at), True
+        frame = codec.decode(data)
+        if isinstance(frame.message, messages.ZoneState):
+            is_dated = frame.sent_at is not None
+            self._last_data = data[: -codec.TIME_BYTES] if is_dated else data
+            self._last_heartbeat = frame.message
+        return frame, False
 
 
 _LINK_ERRORS = (
@@ -208,6 +223,8 @@
     Attributes:
         outbox: Sends messages to the peer.
         heard_at: Time of the last message.
+        sent_at: When it was sent, as far as is certain; infinite if its sender
+            did not tell.
         heartbeat_count: Number of heartbeats that have arrived.
         heartbeat_gap_s: Time between the last two heartbeats; the longest
             interval until two have arrived.
@@ -222,6 +239,7 @@
     peer_id: str
     outbox: LinkSocket
     heard_at: float
+    sent_at: float = math.inf
     heartbeat_count: int = 0
     heartbeat_gap_s: float = IDLE_HEARTBEAT_INTERVAL_S
     is_silent: bool = False
@@ -231,6 +249,17 @@
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _heartbeat_at: float = 0.0
     _job_at: float = -1e9
+    _sender_clock: sendtimes.SenderClock = attrs.field(
+        default=attrs.Factory(
+            lambda self: sendtimes.SenderClock(self.heard_at), takes_self=True
+        )
+    )
+
+    def record_sent(self, sent_at: float | None) -> None:
+        """Records when the last message was sent, by the peer's clock."""
+        self.sent_at = math.inf
+        if sent_at is not None:
+            self.sent_at = self._sender_clock.date(sent_at, self.heard_at)
 
     def record_job(self, now: float) -> None:
         """Records that a job arrived."""
@@ -326,6 +355,8 @@
             if not self._carries_jobs(now):
                 self._is_due_sooner.set()
             self._job_at = now
+            data = codec.encode(codec.Frame(0, message))
+            return self.post_frame(_encode_dated_frame(data, now))
         return self._outbox is not None and self._outbox.post(message)
 
     def _carries_jobs(self, now: float) -> bool:
@@ -410,7 +441,8 @@
         while True:
             for frame in await outbox.receive_frames():
                 self.heard_at = clock.now()
-                message, is_repeated = decoder.decode(frame)
+                decoded, is_repeated = decoder.decode(frame)
+                message = decoded.message
                 if isinstance(message, messages.ZoneState):
                     check_heartbeat(message, self.peer_id)
                     was_open = self.heartbeat is not None
@@ -482,16 +514,20 @@
         factory=clientlimits.new_unlimited_budget
     )
     _sessions: set[AcceptedLink] = attrs.field(factory=set)
-    _heartbeat_frame: bytes = b""
+    _heartbeat_data: bytes = b""
     _heartbeat_encoded_at: float = -1e9
 
     def heartbeat_frame(self) -> bytes:
-        """Returns an encoded heartbeat at most HEARTBEAT_MAX_AGE_S old."""
+        """Returns an encoded heartbeat, to be sent now.
+
+        What it tells is at most HEARTBEAT_MAX_AGE_S old.
+        """
         now = clock.now()
         if now - self._heartbeat_encoded_at > HEARTBEAT_MAX_AGE_S:
             self._heartbeat_encoded_at = now
-            self._heartbeat_frame = encode_frame(self.build_heartbeat())
-        return self._heartbeat_frame
+            frame = codec.Frame(0, self.build_heartbeat())
+            self._heartbeat_data = codec.encode(frame)
+        return _encode_dated_frame(self._heartbeat_data, now)
 
     def announce(self) -> None:
         """Sends a new heartbeat on all links, as the ownership has changed."""
@@ -577,7 +613,11 @@
             with trio.fail_after(links.HANDSHAKE_TIMEOUT_S):
                 peer_id = await links.authenticate_peer(link, self.identity)
             on_authenticated()
-            session = AcceptedLink(peer_id, new_link_socket(link), clock.now())
+            # The peer sends no message before it has the last of these frames.
+            established_at = link.sent_at
+            session = AcceptedLink(
+                peer_id, new_link_socket(link), established_at
+            )
             self._sessions.add(session)
             with session.scope:
                 async with trio.open_nursery() as nursery:
@@ -606,7 +646,9 @@
                 if session.is_suspect:
                     session.update_suspicion(session.heard_at)
                     self.on_suspicion_changed(session)
-                message, is_repeated = decoder.decode(frame)
+                decoded, is_repeated = decoder.decode(frame)
+                message = decoded.message
+                session.record_sent(decoded.sent_at)
                 if isinstance(message, messages.ZoneState):
                     check_heartbeat(message, session.peer_id)
                     session.record_heartbeat(session.heard_at)
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -134,15 +134,23 @@
         submission: placer_lib.Submission,
         origin,
         client_zone: str = "",
+        sent_at: float = math.inf,
     ) -> None:
-        """Submits a job; `origin.post` receives the verdict."""
+        """Submits a job; `origin.post` receives the verdict.
+
+        Args:
+            submission: The job.
+            origin: Session of the dispatcher that submits it.
+            client_zone: Zone of that dispatcher; empty if unknown.
+            sent_at: When it sent the job; infinite if unknown.
+        """
         self._last_demand = submission.step.demand
         self.placer.submit(
             submission,
             origin,
             clock.now(),
             client_zone,
-            self._dispatcher.inputs_read_until,
+            min(sent_at, self._dispatcher.inputs_read_until),
         )
         self._dispatcher.wake()
 
@@ -177,14 +185,21 @@
         """Handles that another zone has a new placer."""
         self.placer.notices.handle_new_placer()
 
-    def record_heard(self, origin) -> None:
+    def record_heard(self, origin, sent_at: float = math.inf) -> None:
         """Records a heartbeat of a dispatcher.
 
         It may have been sent at any time since the inputs of this process were
-        last read. Other messages prove nothing of the clients that wait: one
-        that was paused may send them before it reads that these have left.
+        last read, or earlier if a broken path held it up. Other messages prove
+        nothing of the clients that wait: one that was paused may send them
+        before it reads that these have left.
+
+        Args:
+            origin: The session of the dispatcher.
+            sent_at: When it sent the heartbeat; infinite if unknown.
         """
-        self.placer.record_heard(origin, self._dispatcher.inputs_read_until)
+        self.placer.record_heard(
+            origin, min(sent_at, self._dispatcher.inputs_read_until)
+        )
 
     def knows_jobs(self) -> bool:
         """Returns whether no unknown job of an earlier owner may run."""
@@ -400,7 +415,9 @@
         ):
             self.placer.runs.awaits_list = False
         # Its clients may have left unseen while this process was paused.
-        self.record_heard(self._dispatcher)
+        self.placer.record_heard(
+            self._dispatcher, self._dispatcher.inputs_read_until
+        )
         self._deadlines.check(now)
         if self.placer.runs.outliers.are_polls_lossy(now):
             self._list_overdue_runs(now)
--- a/acacialine/tests/test_dispatcher.py
+++ b/acacialine/tests/test_dispatcher.py
@@ -86,6 +86,29 @@
             announced = [JOB] if is_suspect else []
             self.assertEqual(build.announced(new_orders), announced)
 
+    def test_held_up_messages_are_dated_by_their_sender(self):
+        dispatcher = self.dispatcher
+        host = placerhost.PlacerHost(build.placer(), 1, dispatcher=dispatcher)
+        now = dispatcher.inputs_read_until = clock.now()
+        session = peering.AcceptedLink("a2", object(), now, sent_at=now - 0.7)
+        session.heartbeat_count = 2
+        state = attrs.evolve(
+            dispatcher._build_zone_state(), sender=OTHER_ID, knows_jobs=True
+        )
+        job = placerhost.encode_submission(build.submission(JOB))
+        for placer_host in (host, None):
+            dispatcher.placer_host = placer_host
+            dispatcher.hub.on_request(session, state, True)
+            dispatcher.placer_host = host
+            dispatcher.hub.on_request(session, job, False)
+        tables = host.placer.tables
+        for date in (
+            tables.origins_heard_at[session.outbox],
+            tables.jobs[JOB].heard_until,
+            dispatcher.zone_handover.predecessors.told_at,
+        ):
+            self.assertEqual(date, session.sent_at)
+
     def test_a_candidate_that_is_linked_after_the_resignation_knows_fates(self):
         # A placer that stopped resigned some ms before its link to a candidate
         # opened, which then did not know of cancelled jobs (review/10).
--- a/acacialine/tests/test_peering.py
+++ b/acacialine/tests/test_peering.py
@@ -166,6 +166,22 @@
 
         self.run_scenario(scenario)
 
+    def test_a_heartbeat_that_is_held_up_is_dated_by_its_sender(self):
+        async def scenario(acceptor, dialler, link):
+            frame = dialler.hub.heartbeat_frame()
+            ages = []
+            acceptor.hub.on_request = lambda session, message, is_repeated: (
+                ages.append(session.heard_at - session.sent_at)
+            )
+            link.post(placerhost.encode_submission(build.submission()))
+            await trio.sleep(0.4)
+            link.post_frame(frame)
+            await self.wait_for(lambda: max(ages, default=0.0) > 0.3)
+            self.assertLess(min(ages), 0.3)
+            self.assertGreater(min(ages), -0.1)  # all are dated
+
+        self.run_scenario(scenario)
+
     def test_a_heartbeat_of_another_sender_ends_the_link(self):
         async def scenario(acceptor, dialler, link):
             dialler.state = new_state("10.9.9.9-1-" + "c" * 16)
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -105,7 +105,8 @@
             and session.heartbeat_count > 1
         ):
             self.predecessors.record_told(
-                state.claim, self._dispatcher.inputs_read_until
+                state.claim,
+                min(session.sent_at, self._dispatcher.inputs_read_until),
             )
 
     def _send_list_if_needed(
