A silent server's fencing token rises before its restart is seen

Callers could see a task run twice at once. A start got no response and was resolved, and its task ran on another server. The first server restarted, and its answers were held for some seconds while requests arrived. Its next incarnation then carried the late start out.

Cause: only an answer shows a restart, so the polls that reached the new incarnation still had the token of the earlier one.

The token now rises when a server falls silent, at once if its connection breaks, and when the store announces another incarnation. The first request that reaches the new incarnation fences it, whether it is answered or not. A server that was only slow refuses the orders that were still on their way; the start of such a run counts as not carried out. After a restart the responses to requests from before are ignored as before; those to requests from before a mere silence count.

--- a/acacialine/outliers.py
+++ b/acacialine/outliers.py
@@ -68,7 +68,7 @@
             return False
         is_new = server.unresponsive_since is None
         if is_new:
-            server.unresponsive_since = now
+            _begin_silence(server, now)
             server.unanswered_order = (order, sent_at)
         if not server.is_put_aside:
             server.is_put_aside = self._may_put_aside()
@@ -92,7 +92,7 @@
         It is put aside without a limit: no request gets through to it.
         """
         if server.unresponsive_since is None:
-            server.unresponsive_since = now
+            _begin_silence(server, now)
         server.is_put_aside = True
         server.unanswered_order = None
 
@@ -151,3 +151,13 @@
 
     def _log(self, event: events.Event, **fields) -> None:
         self._emit(orders_lib.LogDecision(event, fields))
+
+
+def _begin_silence(server: zonetables.Server, now: float) -> None:
+    """Records that nothing is heard from a server that may be restarting.
+
+    Its answers may be lost for longer than its requests, so that its next
+    incarnation is to refuse earlier orders before it is seen.
+    """
+    server.unresponsive_since = now
+    server.fence(now)
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -663,7 +663,7 @@
                 poller.not_before = 0.0
                 is_outdated = (
                     poller.polled_at < self.placer.runs.resumed_at
-                    or server.has_older_token(poller.polled_at)
+                    or server.has_restarted_since(poller.polled_at)
                 )
                 if not server.runs_listed and not is_outdated:
                     poller.not_before = now + UNANNOUNCED_POLL_INTERVAL_S
--- a/acacialine/tests/test_lost_zones.py
+++ b/acacialine/tests/test_lost_zones.py
@@ -319,6 +319,24 @@
     def test_a_late_start_keeps_no_run_alive_that_is_cut_off(self):
         self.run_late_request_cut_off(self.start_late)
 
+    def test_a_restarted_server_that_can_not_answer_starts_no_task_late(self):
+        async def scenario(cluster):
+            server = cluster.servers[0]
+            server.next_late_delay_s = lambda: LATE_S
+            outcomes = iter(("outliving", ""))  # of a start and its stop
+            server.next_request_outcome = lambda: next(outcomes, "unwell")
+            self.send_job(cluster, "a1", JOB, 5.0)
+            await self.wait_for_line(cluster, "a1", " E812 ", JOB)
+            arrives_at = trio.current_time() + LATE_S
+            await cluster.add_server("i-1", "a")
+            while JOB not in cluster.fake_servers.started_jobs:
+                await trio.sleep(0.002)
+            cluster.server_routes["i-0"].hold(False)
+            await cluster.crash_server("i-0", 0.1)
+            await trio.sleep_until(arrives_at + 0.5)
+
+        self.run_scenario(scenario, ["a"], {"a1": "a"})
+
     def test_a_job_whose_own_zone_is_lost_but_for_a_new_dispatcher(self):
         async def restart(cluster, successor):
             cluster.processes[successor].kill()
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -337,12 +337,13 @@
                 ):
                     return
                 has_outcome.append(True)
-                if outcome != orders.StartOutcome.FENCED:
-                    self.placer.runs.handle_start_result(
-                        run, outcome, received_at
-                    )
-                elif not run.server.has_older_token(now):
-                    self._handle_fenced()
+                result = outcome
+                if outcome == orders.StartOutcome.FENCED:
+                    if not run.server.has_older_token(now):
+                        self._handle_fenced()
+                        return
+                    result = orders.StartOutcome.NOT_STARTED
+                self.placer.runs.handle_start_result(run, result, received_at)
 
             simulation.send_reply(delays, on_reply)
 
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -343,9 +343,9 @@
             server.incarnation_seen_at = now
         self.outliers.record_response(server, now)
         self.crashes.retract(server, now)
-        if server.has_older_token(polled_at):
+        if server.has_restarted_since(polled_at):
             return  # late orders may still change what it lists
-        if not server.clock_at or server.clock_at <= server.fenced_at:
+        if not server.clock_at or server.has_restarted_since(server.clock_at):
             # An earlier owner or a late order may just have renewed its leases.
             server.lease_until = max(
                 server.lease_until, now + self.lease_times.max_lease_s
@@ -421,7 +421,8 @@
         server.failure_rate = 0.0
         server.runs_listed = False
         leases.observe_clock(server, poll_result.server_clock_ms, now)
-        self.tables.fence(server, now)
+        server.restarted_at = now
+        server.fence(now)
         self.doubtful.hold_late_starts(server, now)
 
     def _record_end(
@@ -597,6 +598,7 @@
             server.announced_incarnation = announced.announced_incarnation
             if server.incarnation != announced.announced_incarnation:
                 server.runs_listed = False  # poll it before any start
+                server.fence(now)
 
     def record_poll_timeout(
         self,
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -208,9 +208,10 @@
             it; 0 before the first poll.
         incarnation_seen_at: When the first response of its incarnation arrived.
         announced_incarnation: Incarnation that the store announces; 0 if none.
+        restarted_at: When it was last seen to have restarted.
         fencing_offset: Added to the epoch of this placer in the fencing tokens
-            of requests to the server; see `ZoneTables.fence`.
-        fenced_at: When that last rose because the server had restarted.
+            of requests to the server; see `fence`.
+        fenced_at: When that last rose.
         runs_listed: Whether a poll has listed its runs since this placer
             became its owner, the server restarted or this process was
             suspended.
@@ -256,6 +257,7 @@
     incarnation: int = 0
     incarnation_seen_at: float = 0.0
     announced_incarnation: int = 0
+    restarted_at: float = -1e9
     fencing_offset: int = 0
     fenced_at: float = -1e9
     runs_listed: bool = False
@@ -298,10 +300,25 @@
         """
         return sent_at < self.incarnation_seen_at
 
+    def fence(self, now: float) -> None:
+        """Raises the fencing tokens of later requests to the server.
+
+        Earlier orders may reach a later incarnation of it late. Their leases
+        are times on the clock of another incarnation, so they would hold for
+        longer than they should. The new incarnation refuses them from the
+        first request with a higher token on.
+        """
+        self.fencing_offset += 1
+        self.fenced_at = now
+
     def has_older_token(self, sent_at: float) -> bool:
-        """Returns whether a request has a token from before a restart."""
+        """Returns whether the token has risen since a request was sent."""
         return sent_at <= self.fenced_at
 
+    def has_restarted_since(self, sent_at: float) -> bool:
+        """Returns whether a request is from before its restart was seen."""
+        return sent_at <= self.restarted_at
+
     def occupy(self, demand: resources_lib.Resources) -> None:
         """Takes a demand from the free capacity."""
         self.used = self.used + demand
@@ -539,7 +556,7 @@
             its session. One that is missing counts as alive.
         zones_heard_at: Latest time at which the placer of another zone, which
             has confirmed notices, certainly lived, by zone.
-        fencing_offset: Highest fencing offset of any server so far.
+        fencing_offset: First fencing offset of a server that is added.
     """
 
     zone: str
@@ -570,21 +587,11 @@
 
         Should it be added again, it refuses what was sent to it until now.
         """
-        self.fencing_offset += 1
+        self.fencing_offset = max(
+            self.fencing_offset, server.fencing_offset + 1
+        )
         del self.servers[server.id]
 
-    def fence(self, server: Server, now: float) -> None:
-        """Raises the fencing tokens of a restarted server.
-
-        Orders for its earlier incarnations may reach the new one late. Their
-        leases are times on the clock of another incarnation, so they would hold
-        for longer than they should. The new incarnation refuses them from the
-        first request with a higher token on.
-        """
-        self.fencing_offset += 1
-        server.fencing_offset = self.fencing_offset
-        server.fenced_at = now
-
     def add_run(self, run: Run) -> None:
         """Adds a run and occupies the capacity that it demands."""
         server = run.server
