A restarted server is listed with its new token at once

After a restart of its backend server callers waited longer for its capacity: the first poll of a new connection shows the restart and fails the request behind it, which counted as a failed poll, so that the next one, with the new token, came 0.2 to 0.8 s later. So long the next incarnation carried out late orders as well. The refusal of an older token put the server aside in the same way.

Both are an OutdatedError now: the next poll follows at once. A listing does as well, since the poll in flight may take long to fail. A poll from before the restart no longer clears that ends of the next incarnation are to be acknowledged.

The new test of test_placerhost fails before.

--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -564,6 +564,10 @@
             case serverclient.FencedError():
                 self._handle_fencing(server)
                 return
+            case serverclient.OutdatedError():
+                self._list_if_needed(poller, now)
+                self._poll_if_due(poller, now)
+                return
         self._record_poll_failure(poller, error, sent_at)
         poller.failed_listings += 1
         if poller.failed_listings < QUICK_LISTINGS and isinstance(
@@ -630,10 +634,15 @@
             return
         was_listed = server.runs_listed
         version = server.version
+        restarted_at = server.restarted_at
         silent_since = server.unresponsive_since
         now = clock.now()
         self.placer.runs.apply_poll(server, result, sent_at, now)
         poller = self._pollers.get(server.id)
+        if poller is not None and server.restarted_at > restarted_at:
+            # The poll in flight may take long to fail.
+            poller.listing_sent_at = now
+            poller.client.list_runs(now)
         if (
             silent_since is not None
             and poller is not None
@@ -661,14 +670,21 @@
             case None:
                 poller.retry_s = POLL_RETRY_S
                 poller.not_before = 0.0
+                has_restarted = server.has_restarted_since(poller.polled_at)
                 is_outdated = (
-                    poller.polled_at < self.placer.runs.resumed_at
-                    or server.has_restarted_since(poller.polled_at)
+                    has_restarted
+                    or poller.polled_at < self.placer.runs.resumed_at
                 )
                 if not server.runs_listed and not is_outdated:
                     poller.not_before = now + UNANNOUNCED_POLL_INTERVAL_S
-                if server.last_ended_seq == poller.polled_seq:
+                if (
+                    server.last_ended_seq == poller.polled_seq
+                    and not has_restarted
+                ):
                     server.must_acknowledge = False
+            case serverclient.OutdatedError():
+                poller.retry_s = POLL_RETRY_S
+                poller.not_before = 0.0
             case serverclient.FencedError():
                 self._handle_fencing(server)
                 poller.not_before = now + FENCED_POLL_RETRY_S
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -69,10 +69,18 @@
     """A poll got no response in time; its server may be well."""
 
 
+class OutdatedError(PollError):
+    """The server is well, but has restarted since or was taken for silent."""
+
+
 class _ReplacedBeforeCallError(httppool_lib.NotSentError):
     """The first poll of a new connection found another incarnation."""
 
 
+class _RestartedBeforeCallError(httppool_lib.NotSentError):
+    """The first poll of a new connection showed a restart."""
+
+
 class Observer(typing.Protocol):
     """Receives the results of the requests; implemented by the placer host."""
 
@@ -427,7 +435,7 @@
         """
         if reply.status == 409 and _reason(reply) == "fence":
             if self.server.has_older_token(sent_at):
-                raise PollError("it has a higher token of this owner")
+                raise OutdatedError("it has a higher token of this owner")
             raise FencedError
         if reply.status == 421 and not self.server.may_be_outdated(sent_at):
             raise ReplacedError("another incarnation has its address")
@@ -476,10 +484,12 @@
             raise httppool_lib.NotSentError("fenced") from error
         except ReplacedError as error:
             raise _ReplacedBeforeCallError(str(error)) from error
+        except OutdatedError as error:
+            raise _RestartedBeforeCallError(str(error)) from error
         except PollError as error:
             raise httppool_lib.NotSentError(repr(error)) from error
         if was_listed and self.server.incarnation != known_incarnation:
-            raise httppool_lib.NotSentError("the backend server has restarted")
+            raise _RestartedBeforeCallError("the backend server has restarted")
         if incarnation != self.server.incarnation:
             raise httppool_lib.NotSentError("reached another incarnation")
 
@@ -495,6 +505,8 @@
             return RefusedError(str(error))
         case _ReplacedBeforeCallError():
             return ReplacedError(str(error))
+        case _RestartedBeforeCallError():
+            return OutdatedError(str(error))
     return PollError(str(error))
 
 
--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -157,6 +157,19 @@
         self.assertTrue(self.poller.in_flight)  # the long poll goes on
         self.assertEqual(self.poller.client.listings, [1.021])
 
+    def test_a_restarted_server_is_listed_and_polled_at_once(self):
+        self.poller.in_flight = True
+        self.poller.retry_s = placerhost.POLL_RETRY_MAX_S
+        result = orders.PollResult(2, 10, (), ())
+        self.handle(
+            1.0, self.host.handle_poll_result, self.server, result, 0.99
+        )
+        self.assertEqual(self.poller.client.listings, [1.0])
+        error = placerhost.serverclient.OutdatedError("it has restarted")
+        self.handle(1.001, self.host.handle_poll_end, self.server, error)
+        self.assertEqual(self.poller.client.polls, [0.0])
+        self.assertFalse(self.server.is_put_aside)
+
     def test_an_idle_server_is_polled_while_it_may_start_a_run_late(self):
         run = self.lose_start()
         self.placer.tables.remove_run(run, 1.1)
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -345,7 +345,7 @@
         self.crashes.retract(server, now)
         if server.has_restarted_since(polled_at):
             return  # late orders may still change what it lists
-        if not server.clock_at or server.has_restarted_since(server.clock_at):
+        if not server.clock_at or server.clock_at <= server.restarted_at:
             # An earlier owner or a late order may just have renewed its leases.
             server.lease_until = max(
                 server.lease_until, now + self.lease_times.max_lease_s
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -317,7 +317,7 @@
 
     def has_restarted_since(self, sent_at: float) -> bool:
         """Returns whether a request is from before its restart was seen."""
-        return sent_at <= self.restarted_at
+        return sent_at < self.restarted_at
 
     def occupy(self, demand: resources_lib.Resources) -> None:
         """Takes a demand from the free capacity."""
