Notices of an earlier placer of the process confirm nothing

A dispatcher that owns its zone again numbered its notices of running jobs from 1 anew, so that a confirmation on its way for a notice of its earlier ownership counted for one of the new: jobs passed for known to a zone that had not been told of them, and their leases were renewed without a client.

Numbers now begin at the time of the ownership in ms; notices are sent five times a second, so that none is used twice.

Result: the new test fails before and passes; 150 tests pass.

--- a/acacialine/jobnotices.py
+++ b/acacialine/jobnotices.py
@@ -202,3 +202,16 @@
         self._unconfirmed.clear()
         for job in self._tables.jobs.values():
             job.known_until = job.shared_at = -1e9
+
+
+def new_job_notices(
+    tables: zonetables.ZoneTables,
+    emit: collections.abc.Callable[[orders_lib.Order], None],
+    owned_since: float,
+) -> JobNotices:
+    """Creates the notices of a placer that owns its zone since some time.
+
+    No number is used by an earlier placer of the same process, whose notices
+    may yet be confirmed.
+    """
+    return JobNotices(tables, emit, last_number=round(owned_since * 1000))
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -131,7 +131,9 @@
         self._starter = placement.TaskStarter(
             self.tables, self.runs, self._emit, self.policy
         )
-        self.notices = jobnotices.JobNotices(self.tables, self._emit)
+        self.notices = jobnotices.new_job_notices(
+            self.tables, self._emit, self.owned_since
+        )
         self.shares = self.admission.shares
         self.obeyed_since = self.owned_since
 
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -782,6 +782,23 @@
         announced_at = self.announced_at(placer, (0.32, 0.42))
         self.assertEqual(announced_at, [0.42])
 
+    def test_a_notice_of_an_earlier_placer_confirms_nothing(self):
+        numbers = []
+        for now in (1.0, 2.0):
+            placer = build.placer(now=now)
+            placer.notices.update_zones(frozenset({"zone-b"}))
+            self.confirm(placer, build.starts(self.submit(placer, now)))
+            placer.notices.share_open_jobs(now + 0.2)
+            numbers += [
+                order.number
+                for order in placer.take_orders()
+                if isinstance(order, orders.ShareOpenJobs)
+            ]
+        earlier_number, _ = numbers
+        placer.notices.confirm(earlier_number, "zone-b")
+        job = placer.tables.jobs["00000000000000aa"]
+        self.assertLess(job.known_until, 0.0)
+
     def test_a_run_that_is_listed_after_its_lease_has_ended_is_logged(self):
         placer = build.placer()
         (run,) = build.starts(self.submit(placer, step=build.step(1)))
