A link that is slow for long does not hide that a message was held up

The offset between two clocks changes slowly, so its estimate may now rise by 1% of the time only, and the window is gone. Clocks on a platform drift apart by far less.

--- a/acacialine/sendtimes.py
+++ b/acacialine/sendtimes.py
@@ -1,17 +1,13 @@
 """Dates messages by the clock of their sender.
 
 What a broken path holds up arrives late, also if its sender has died meanwhile.
-The clocks of two processes differ by a constant, which the messages that were
-under way for the shortest time tell best.
+The clocks of two processes differ by an offset that changes slowly. The
+messages that were under way for the shortest time tell it best.
 """
 
-import math
-
 import attrs
 
-# Clocks drift apart, so offsets are kept for one to two of these. No link is
-# silent for that long, so one of them is from before what is held up.
-WINDOW_S = 5.0
+MAX_DRIFT = 0.01  # change of the offset per s; clocks drift apart by far less
 
 
 @attrs.define(eq=False)
@@ -24,9 +20,8 @@
     """
 
     established_at: float
-    _window_at: float = -math.inf
-    _offset_s: float = math.inf
-    _last_offset_s: float = math.inf
+    _offset_s: float | None = None
+    _arrived_at: float = 0.0
 
     def date(self, sent_at: float, arrived_at: float) -> float:
         """Returns when a message was sent, as far as is certain.
@@ -35,12 +30,11 @@
             sent_at: When it was sent, by the clock of the peer.
             arrived_at: When it arrived; not before the messages sent earlier.
         """
-        if self._window_at == -math.inf:
-            self._window_at = arrived_at
-            self._offset_s = self.established_at - sent_at
-        elif arrived_at - self._window_at > WINDOW_S:
-            self._window_at = arrived_at
-            self._last_offset_s = self._offset_s
-            self._offset_s = math.inf
-        self._offset_s = min(self._offset_s, arrived_at - sent_at)
-        return sent_at + min(self._offset_s, self._last_offset_s)
+        if self._offset_s is None:
+            max_offset_s = self.established_at - sent_at
+        else:
+            elapsed_s = arrived_at - self._arrived_at
+            max_offset_s = self._offset_s + elapsed_s * MAX_DRIFT
+        self._offset_s = min(max_offset_s, arrived_at - sent_at)
+        self._arrived_at = arrived_at
+        return sent_at + self._offset_s
