Names of the fencing tokens of a server

A token is raised now, and the offset of an added server has a name of its own. The question whether a server may run tasks no longer changes its tables.

--- a/acacialine/doubtfulruns.py
+++ b/acacialine/doubtfulruns.py
@@ -205,10 +205,12 @@
     return False
 
 
-def may_carry_out_orders(server: zonetables.Server, now: float) -> bool:
+def may_run_tasks(server: zonetables.Server, now: float) -> bool:
     """Returns whether a server runs tasks or may start some late."""
-    drop_late_starts(server, now)
-    return bool(server.runs or server.late_starts)
+    return bool(server.runs) or any(
+        now < run.sent_at + MAX_ORDER_DELAY_S
+        for run in server.late_starts.values()
+    )
 
 
 def drop_late_starts(server: zonetables.Server, now: float) -> None:
--- a/acacialine/outliers.py
+++ b/acacialine/outliers.py
@@ -160,4 +160,4 @@
     incarnation is to refuse earlier orders before it is seen.
     """
     server.unresponsive_since = now
-    server.fence(now)
+    server.raise_token(now)
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -585,9 +585,7 @@
             return
         due_at = poller.not_before
         wait_s = 0.0
-        if server.runs_listed and doubtfulruns.may_carry_out_orders(
-            server, now
-        ):
+        if server.runs_listed and doubtfulruns.may_run_tasks(server, now):
             settings = self._dispatcher.settings.placement
             lease_s = poller.client.lease_s
             lease_left_s = leases.attended_until(server, now) + lease_s - now
--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -184,7 +184,7 @@
     @property
     def fencing_token(self) -> int:
         """Number that the server compares with the highest it has seen."""
-        return self.epoch + self.server.fencing_offset
+        return self.epoch + self.server.token_offset
 
     @property
     def address(self) -> tuple[str, int]:
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -729,9 +729,9 @@
     ):
         placer = build.placer()
         server = placer.tables.servers["i-1"]
-        earlier_offset = server.fencing_offset
+        earlier_offset = server.token_offset
         self.restart(placer, server, 2, 0.2)
-        self.assertGreater(server.fencing_offset, earlier_offset)
+        self.assertGreater(server.token_offset, earlier_offset)
         self.poll_later(placer, server, 0.19, 0.21)
         self.assertFalse(server.runs_listed)
         self.poll_later(placer, server, 0.22, 0.23)
@@ -741,13 +741,13 @@
 
     def test_a_server_that_is_added_again_refuses_earlier_orders(self):
         placer = build.placer(build.server("i-1"), build.server("i-2"))
-        earlier_offset = placer.tables.servers["i-1"].fencing_offset
+        earlier_offset = placer.tables.servers["i-1"].token_offset
         placer.runs.apply_servers([build.server("i-2")], 0.1)
         placer.runs.apply_servers(
             [build.server("i-1"), build.server("i-2")], 0.2
         )
         server = placer.tables.servers["i-1"]
-        self.assertGreater(server.fencing_offset, earlier_offset)
+        self.assertGreater(server.token_offset, earlier_offset)
 
     def test_a_start_without_an_answer_may_reach_a_later_incarnation(self):
         for is_answer_due in (True, False):
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -100,7 +100,7 @@
 
             async def answer(stream):
                 await stream.receive_some(65536)
-                server.fence(clock.now())
+                server.raise_token(clock.now())
                 await stream.send_all(
                     b"HTTP/1.1 409 Conflict\r\nContent-Length: 18\r\n\r\n"
                     b'{"reason":"fence"}'
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -177,7 +177,7 @@
         self.read_servers(now)
 
     def fencing_token(self, server):
-        return self.epoch * EPOCH_DISTANCE + server.fencing_offset
+        return self.epoch * EPOCH_DISTANCE + server.token_offset
 
     def read_servers(self, now):
         """Applies the list of backend servers as they announce themselves."""
@@ -199,7 +199,7 @@
             if (
                 server.runs_listed
                 and not self.simulation.polls_idle_servers
-                and not doubtfulruns.may_carry_out_orders(server, now)
+                and not doubtfulruns.may_run_tasks(server, now)
             ):
                 continue
             if now >= self.next_poll.get(server.id, 0.0):
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -422,7 +422,7 @@
         server.runs_listed = False
         leases.observe_clock(server, poll_result.server_clock_ms, now)
         server.restarted_at = now
-        server.fence(now)
+        server.raise_token(now)
         self.doubtful.hold_late_starts(server, now)
 
     def _record_end(
@@ -598,7 +598,7 @@
             server.announced_incarnation = announced.announced_incarnation
             if server.incarnation != announced.announced_incarnation:
                 server.runs_listed = False  # poll it before any start
-                server.fence(now)
+                server.raise_token(now)
 
     def record_poll_timeout(
         self,
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -209,9 +209,9 @@
         incarnation_seen_at: When the first response of its incarnation arrived.
         announced_incarnation: Incarnation that the store announces; 0 if none.
         restarted_at: When it was last seen to have restarted.
-        fencing_offset: Added to the epoch of this placer in the fencing tokens
-            of requests to the server; see `fence`.
-        fenced_at: When that last rose.
+        token_offset: Added to the epoch of this placer in the fencing tokens
+            of requests to the server; see `raise_token`.
+        token_raised_at: When that last rose.
         runs_listed: Whether a poll has listed its runs since this placer
             became its owner, the server restarted or this process was
             suspended.
@@ -258,8 +258,8 @@
     incarnation_seen_at: float = 0.0
     announced_incarnation: int = 0
     restarted_at: float = -1e9
-    fencing_offset: int = 0
-    fenced_at: float = -1e9
+    token_offset: int = 0
+    token_raised_at: float = -1e9
     runs_listed: bool = False
     used: resources_lib.Resources = resources_lib.NO_RESOURCES
     free: resources_lib.Resources = attrs.field(init=False)
@@ -300,7 +300,7 @@
         """
         return sent_at < self.incarnation_seen_at
 
-    def fence(self, now: float) -> None:
+    def raise_token(self, now: float) -> None:
         """Raises the fencing tokens of later requests to the server.
 
         Earlier orders may reach a later incarnation of it late. Their leases
@@ -308,12 +308,12 @@
         longer than they should. The new incarnation refuses them from the
         first request with a higher token on.
         """
-        self.fencing_offset += 1
-        self.fenced_at = now
+        self.token_offset += 1
+        self.token_raised_at = now
 
     def has_older_token(self, sent_at: float) -> bool:
         """Returns whether the token has risen since a request was sent."""
-        return sent_at <= self.fenced_at
+        return sent_at <= self.token_raised_at
 
     def has_restarted_since(self, sent_at: float) -> bool:
         """Returns whether a request is from before its restart was seen."""
@@ -556,7 +556,7 @@
             its session. One that is missing counts as alive.
         zones_heard_at: Latest time at which the placer of another zone, which
             has confirmed notices, certainly lived, by zone.
-        fencing_offset: First fencing offset of a server that is added.
+        first_token_offset: Token offset of a server that is added.
     """
 
     zone: str
@@ -575,11 +575,11 @@
     fates: jobfates.JobFates = attrs.field(factory=jobfates.JobFates)
     origins_heard_at: dict = attrs.field(factory=dict)
     zones_heard_at: dict[str, float] = attrs.field(factory=dict)
-    fencing_offset: int = 0
+    first_token_offset: int = 0
 
     def add_server(self, server: Server) -> None:
         """Adds a server, which may have been removed earlier."""
-        server.fencing_offset = self.fencing_offset
+        server.token_offset = self.first_token_offset
         self.servers[server.id] = server
 
     def remove_server(self, server: Server) -> None:
@@ -587,8 +587,8 @@
 
         Should it be added again, it refuses what was sent to it until now.
         """
-        self.fencing_offset = max(
-            self.fencing_offset, server.fencing_offset + 1
+        self.first_token_offset = max(
+            self.first_token_offset, server.token_offset + 1
         )
         del self.servers[server.id]
 
