--- a/acacialine/codec.py
+++ b/acacialine/codec.py
@@ -18,7 +18,8 @@
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("acacialine.capnp")))
 MAX_TRAVERSAL_WORDS = 1 << 24  # in 8-byte words: 128 MB per decoded frame
 WORD_BYTES = 8
-# A word in the packed encoding whose bytes are all literal, and no more words.
+# Packed encoding of a word without zeros: its tag, the word, and the number of
+# words that follow unpacked.
 _TIME_PREFIX, _TIME_SUFFIX = b"\xff", b"\x00"
 TIME_BYTES = len(_TIME_PREFIX) + WORD_BYTES + len(_TIME_SUFFIX)
 # Positions of the bytes of a word that are not zero, by its tag.
--- a/acacialine/sendtimes.py
+++ b/acacialine/sendtimes.py
@@ -1,8 +1,8 @@
 """Dates messages by the clock of their sender.
 
 What a broken path holds up arrives late, also if its sender has died meanwhile.
-The clocks of two processes differ by an offset that changes slowly. The
-messages that were under way for the shortest time tell it best.
+The offset between the clocks of two processes changes slowly. It is estimated
+by the messages that were under way for the shortest time.
 """
 
 import attrs
@@ -12,7 +12,7 @@
 
 @attrs.define(eq=False)
 class SenderClock:
-    """The clock of the peer of one link, which counts from any moment.
+    """The clock of the peer of one link, whose zero is arbitrary.
 
     Attributes:
         established_at: Time of this process before which the peer has certainly
--- a/acacialine/tests/zonesimulation.py
+++ b/acacialine/tests/zonesimulation.py
@@ -295,6 +295,8 @@
                 self.placer.runs.apply_poll(
                     server, observation, now, received_at
                 )
+                if server.restarted_at == received_at:
+                    self.next_poll[server.id] = 0.0  # as `placerhost` does
 
             simulation.send_reply(delays, on_reply)
 
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -326,7 +326,8 @@
     ) -> None:
         """Applies the result of a poll of a backend server.
 
-        One that may come from an earlier incarnation is ignored.
+        One that may come from an earlier incarnation is ignored, and so is one
+        to a poll from before the restart was seen, but for that.
 
         Args:
             server: The server that was polled.
@@ -344,7 +345,9 @@
         self.outliers.record_response(server, now)
         self.crashes.retract(server, now)
         if server.has_restarted_since(polled_at):
-            return  # late orders may still change what it lists
+            # An order with an older token may yet be carried out, so only a
+            # listing with the new one counts.
+            return
         if not server.clock_at or server.clock_at <= server.restarted_at:
             # An earlier owner or a late order may just have renewed its leases.
             server.lease_until = max(
