--- a/acacialine/tests/test_combined_faults.py
+++ b/acacialine/tests/test_combined_faults.py
@@ -73,6 +73,15 @@
         simulation.target = "zone-b"
         self.check()
 
+    def test_a_client_that_leaves_a_cut_off_zone_unseen(self):
+        simulation = self.simulation
+        simulation.cut_zones_silently(6.0)
+        job = simulation.submit("zone-a", JOB, left_s=1.5)
+        simulation.run_until(0.26)
+        simulation.target = "zone-b"
+        simulation.send_again(job, 2)
+        self.check()
+
     def lose_own_zone(self):
         """Loses the zone of a job whose server the next placer can't reach."""
         simulation = self.simulation
--- a/acacialine/tests/test_restarted_servers.py
+++ b/acacialine/tests/test_restarted_servers.py
@@ -66,11 +66,14 @@
 
 
 class IdleServersTest(unittest.TestCase):
-    def test_an_idle_server_that_has_restarted_starts_no_task_late(self):
-        simulation = ScriptedSimulation()
-        simulation.starts_late_until = 0.22
-        simulation.submit("zone-a", JOB)
-        simulation.run_until(0.6)
+    def setUp(self):
+        self.simulation = ScriptedSimulation()
+        self.simulation.starts_late_until = 0.22
+        self.simulation.submit("zone-a", JOB)
+        self.simulation.run_until(0.6)
+
+    def restart_idle_server(self):
+        simulation = self.simulation
         (idle,) = (s for s in simulation.servers_of("zone-a") if not s.runs)
         simulation.server_pool.down_s = 0.2
         simulation.server_pool.resets_clocks = True
@@ -81,6 +84,15 @@
         text = simulation.describe_violations()
         self.assertEqual(simulation.server_pool.violations, [], text)
 
+    def test_an_idle_server_that_has_restarted_starts_no_task_late(self):
+        self.restart_idle_server()
+
+    def test_an_idle_server_starts_no_task_of_a_lost_placer_late(self):
+        self.simulation.succeeded_after_s = (0.1, 0.1)
+        self.simulation.lose_placer("zone-a")
+        self.simulation.run_until(1.0)
+        self.restart_idle_server()
+
 
 class RestartedServersTest(unittest.TestCase):
     def check(self, seed):
