--- a/acacialine/doubtfulruns.py
+++ b/acacialine/doubtfulruns.py
@@ -127,7 +127,11 @@
                 stops=run.stop_count,
                 doubtful_ms=zonetables.milliseconds(now - run.unanswered_at),
             )
-        if kind == zonetables.EndKind.LOST and run.may_start_late:
+        is_seen = kind not in (
+            zonetables.EndKind.LOST,
+            zonetables.EndKind.EXPIRED,
+        )
+        if not is_seen and run.may_start_late:
             # Its incarnation refuses the start; a later one would not.
             drop_late_starts(run.server, now)
             run.server.late_starts[run.id] = run
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -268,7 +268,7 @@
                     and now > run.not_after
                     and run.state != zonetables.RunState.STARTING
                 ):
-                    self._handle_run_end(run, zonetables.EndKind.LOST, now)
+                    self._handle_run_end(run, zonetables.EndKind.EXPIRED, now)
                 elif run.job is None or run.state in (
                     zonetables.RunState.STOPPING,
                     zonetables.RunState.DOUBTFUL,
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -98,7 +98,8 @@
     STOPPED = "stopped"
     LAPSED = "lapsed"  # its lease expired
     BROKEN = "broken"  # reported as "broken" or "alone"
-    LOST = "lost"  # no longer listed, or its lease expired
+    LOST = "lost"  # no longer listed
+    EXPIRED = "expired"  # its lease has ended; its server was not heard
     CRASHED = "crashed"  # a later incarnation of the server has its address
 
 
