A run has ended only when its server has had the time to kill it

Callers saw: a task that must run once runs twice at the same time, for some ms (rule TWICE), or more runs on a server than it has room for (LIMIT).

Cause: the end of a lease was taken for the end of its runs. A placer that does not hear a server ends the runs there by reckoning and starts their tasks elsewhere in the same tick, 0 to 20 ms after the server has begun to kill them. "When the lease expires, everything is killed"; a stop may take stopTimeoutMs, 50 ms, and a process on a busy machine wakes late.

Change: such a run ends `kill_s` after its lease, by when the client of its job may be back in another zone at the earliest: 0.2 s with leases of 1 s. That client's limit had the time to kill in it already. What a server lists counts at once, as before. Stand-ins take 0.05 s to kill, in all tests.

--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -57,6 +57,15 @@
         """
         return max(self.resubmit_s - RENEWAL_MARGIN_S, self.max_lease_s)
 
+    @property
+    def kill_s(self) -> float:
+        """Time after the end of a lease by which its runs have certainly ended.
+
+        A backend server kills them then, which takes time. The clients of their
+        jobs may be back after it.
+        """
+        return self.max_unattended_s - self.length_s / SLOWEST_CLOCK_RATE
+
     @property
     def superseded_owner_s(self) -> float:
         """Time after which all runs of an owner with a successor have ended.
--- a/acacialine/tests/test_lost_zones.py
+++ b/acacialine/tests/test_lost_zones.py
@@ -337,6 +337,19 @@
 
         self.run_scenario(scenario, ["a"], {"a1": "a"})
 
+    def test_no_task_starts_elsewhere_while_its_cut_off_server_kills_it(self):
+        async def scenario(cluster):
+            await self.start_job(cluster, "a1", JOB, 7.0)
+            await trio.sleep(
+                3.6
+            )  # until only the connection of its polls is open
+            cluster.server_routes["i-0"].hold(True, False)
+            await cluster.add_server("i-1", "a")
+            while not cluster.servers[1].start_times:
+                await trio.sleep(0.002)
+
+        self.run_scenario(scenario, ["a"], {"a1": "a"})
+
     def test_a_job_whose_own_zone_is_lost_but_for_a_new_dispatcher(self):
         async def restart(cluster, successor):
             cluster.processes[successor].kill()
--- a/acacialine/tools/fakeservers.py
+++ b/acacialine/tools/fakeservers.py
@@ -15,6 +15,7 @@
 from acacialine import zonetables
 
 STOP_DURATION_S = 0.05  # from a stop request until the run ends
+KILL_DURATION_S = 0.05  # from the expiry of a lease until its runs have ended
 CRASH_DELAY_S = 0.01  # from the start of a task that crashes its server
 # Time for which an earlier capacity counts after it has shrunk: `contactMs` and
 # a heartbeat of the platform.
@@ -33,6 +34,7 @@
     started_at: float
     ends_at: float
     stop_requested_at: float | None = None
+    expired_at: float | None = None
 
 
 @attrs.define(eq=False)
@@ -44,7 +46,7 @@
 
     Attributes:
         epoch: Highest epoch seen; requests with a lower one are fenced.
-        lease_until: When all runs end unless the lease is renewed.
+        lease_until: When all runs are killed unless the lease is renewed.
         runs: Present runs by task key and run number.
         highest_numbers: Highest run number seen, by task key.
         ended: Ended runs that the placer has not acknowledged.
@@ -120,8 +122,11 @@
             else:
                 self.crash()
         for run_id, run in list(self.runs.items()):
-            if now > self.lease_until:
-                self._end_run(run_id, zonetables.EndKind.LAPSED)
+            if run.expired_at is None and now > self.lease_until:
+                run.expired_at = self.lease_until
+            if run.expired_at is not None:
+                if now > run.expired_at + self.server_pool.kill_s:
+                    self._end_run(run_id, zonetables.EndKind.LAPSED)
             elif run.stop_requested_at is not None and (
                 now >= run.stop_requested_at + STOP_DURATION_S
             ):
@@ -230,6 +235,7 @@
         job_length_s: Duration of a task in seconds, by job.
         failing_jobs: Jobs whose tasks fail.
         crashing_tasks: Tasks that crash each server that starts them.
+        kill_s: Time in s from the expiry of a lease until its runs have ended.
         down_s: Time in s from a crash until the server restarts.
         resets_clocks: Whether the clock of a server restarts with it.
         resize_grace_s: Time in s for which an earlier capacity counts after
@@ -254,6 +260,7 @@
     servers: dict[str, FakeServer] = attrs.field(factory=dict)
     failing_jobs: set = attrs.field(factory=set)
     crashing_tasks: set = attrs.field(factory=set)
+    kill_s: float = KILL_DURATION_S
     down_s: float = 3.0
     resets_clocks: bool = False
     resize_grace_s: float = RESIZE_GRACE_S
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -257,15 +257,16 @@
     def check_runs(self, now: float) -> None:
         """Ends, stops or restarts runs whose timeouts have passed.
 
-        Runs whose lease has expired end, unconfirmed stops are sent again, and
-        stalled runs are stopped for a restart elsewhere.
+        Runs end that were certainly killed after the end of their lease,
+        unconfirmed stops are sent again, and stalled runs are stopped for a
+        restart elsewhere.
         """
         for server in self.tables.servers.values():
             for run in list(server.runs.values()):
                 self.lingering.check(run, now)
+                lease_until = max(server.lease_until, run.not_after)
                 if (
-                    now > server.lease_until
-                    and now > run.not_after
+                    now > lease_until + self.lease_times.kill_s
                     and run.state != zonetables.RunState.STARTING
                 ):
                     self._handle_run_end(run, zonetables.EndKind.EXPIRED, now)
