A placer holds jobs of earlier owners from when these can know of it

Callers saw: a task runs twice at the same time, for some 0.6 s, after one dispatcher of a zone was cut off from all others for about 5 s. Nothing else fails: no order is late, no stop is lost and no client leaves.

Cause: while it is cut off, that dispatcher claims its zone with a higher epoch and reaches no backend server. When the cut ends, the real placer hears the higher epoch and hands its jobs over. The new one holds such jobs until the leases of earlier owners have ended, but counted that time from its own claim, seconds ago, when no server and no earlier owner could know of it. So it starts them beside the runs on servers that have not answered it yet. The same holds for jobs that it was never told of, and for two placers of a zone that do not hear each other for long.

A scripted simulation of two placers fails as well.

Change: the time counts from the hand-over of a job, or, for one that was not handed over, from the first answer of a backend server. An answer that comes 0.5 s after the claim or later makes the placer assume jobs that it was not told of, and until the first one it does not say that it knows all jobs. Where all servers have answered, jobs start at once, as before.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -88,8 +88,8 @@
         owned_since: When this placer became the owner of the servers.
         lease_times: Times that follow from the length of the leases.
         policy: What it does when more work arrives than fits.
-        obeyed_since: Since when the servers can obey this placer. It is later
-            than `owned_since` if no list of servers was known then.
+        obeyed_since: Since when backend servers obey this placer: the first
+            answer of one, or `owned_since` before.
         last_start_at: Until when jobs of which a task may have started go on
             starting tasks, while the zone is evacuated; None if it is not.
         new_jobs_wait_until: Jobs that arrive before start no task before.
@@ -189,6 +189,8 @@
             return  # its answer is under way to the dispatcher
         if self.notices.repeat_answer(submission.job_id, origin):
             return
+        # Its last placer may have learned only now that it has a successor.
+        started_until = now if submission.handovers else self.obeyed_since
         other_zone = None
         remote = tables.remote_jobs.get(submission.job_id)
         if remote is not None:
@@ -212,7 +214,7 @@
                 )
             )
             return
-        job = self._new_job(submission, origin, ended_job, now)
+        job = self._new_job(submission, origin, ended_job, started_until, now)
         job.client_zone = client_zone
         job.heard_until = heard_at
         if self.policy.spread_retries:
@@ -265,8 +267,19 @@
         submission: Submission,
         origin,
         ended_job: zonetables.EndedJob | None,
+        started_until: float,
         now: float,
     ) -> zonetables.Job:
+        """Returns a job that is not open here.
+
+        Args:
+            submission: The job.
+            origin: Session of the dispatcher that submits it.
+            ended_job: How it ended here before; None if it did not.
+            started_until: Until when an earlier owner may have started tasks,
+                if it had the job.
+            now: The current time.
+        """
         queue = submission.queue
         arrived_at = now - submission.age_s
         ratio = self.tables.estimate_ratio.get(queue.name, 1.0)
@@ -303,7 +316,7 @@
                 1 + RUN_NUMBERS_PER_OWNER * submission.handovers
             )
             job.hold_until = (
-                self.obeyed_since + self.runs.lease_times.superseded_owner_s
+                started_until + self.runs.lease_times.superseded_owner_s
             )
         return job
 
@@ -707,8 +720,8 @@
             self.unknown_jobs_until = min(self.unknown_jobs_until, now)
         return now < self.unknown_jobs_until
 
-    def record_first_list(self, now: float) -> None:
-        """Records that the list of servers was first read after the takeover.
+    def handle_first_answer(self, now: float) -> None:
+        """See `zoneruns.JobCallbacks`.
 
         Until then the earlier owner could go on starting tasks, as no server
         had heard of this one.
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -203,7 +203,9 @@
 
     def knows_jobs(self) -> bool:
         """Returns whether no unknown job of an earlier owner may run."""
-        return not self.placer.may_lack_jobs(clock.now())
+        return self.placer.runs.is_obeyed and not self.placer.may_lack_jobs(
+            clock.now()
+        )
 
     def set_suspect(self, origin, is_suspect: bool) -> None:
         """Records whether a dispatcher may be lost."""
@@ -376,8 +378,6 @@
         runs.unknown_before = max(
             runs.unknown_before, _unknown_before(reader, runs.lease_times)
         )
-        if reader.first_listed_at > self.placer.obeyed_since:
-            self.placer.record_first_list(reader.first_listed_at)
         if sent_at >= self.placer.owned_since:
             self.placer.runs.is_list_current = True
             self.placer.runs.awaits_list = False
@@ -634,8 +634,11 @@
         version = server.version
         restarted_at = server.restarted_at
         silent_since = server.unresponsive_since
+        was_obeyed = self.placer.runs.is_obeyed
         now = clock.now()
         self.placer.runs.apply_poll(server, result, sent_at, now)
+        if self.placer.runs.is_obeyed and not was_obeyed:
+            self._dispatcher.zone_handover.handle_first_answer(self.placer, now)
         poller = self._pollers.get(server.id)
         if poller is not None and server.restarted_at > restarted_at:
             # The poll in flight may take long to fail.
--- a/acacialine/tests/test_lost_zones.py
+++ b/acacialine/tests/test_lost_zones.py
@@ -17,6 +17,7 @@
 RETRANSMIT_S = 1.3  # retransmitMs of the platform
 DEADLINE_MS = 8000
 SETTLING_S = 2.5
+EPOCH_DISTANCE = 1 << 17  # between fencing tokens of two claims
 LATE_S = 4.0  # for which a late request is on its way
 JOB = "00000000000000ab"
 NEIGHBOUR = "00000000000000cd"
@@ -144,6 +145,14 @@
             port = cluster.ports[name].peer_proxy
             route.hold_diallers(route.held_diallers | {port})
 
+    def reconnect(self, cluster, name):
+        """Ends what `cut_off` began."""
+        cluster.peer_routes[name].hold()
+        for other in set(cluster.dispatchers) - {name}:
+            route = cluster.peer_routes[other]
+            port = cluster.ports[name].peer_proxy
+            route.hold_diallers(route.held_diallers - {port})
+
     async def send_again(self, cluster, name, lost_at, length_s):
         """Sends the job again and waits until it ran."""
         await trio.sleep_until(lost_at + RETRANSMIT_S)
@@ -365,6 +374,43 @@
 
         self.run_own_zone_lost(suspend)
 
+    def test_a_dispatcher_that_owned_its_zone_while_cut_off_takes_over_jobs(
+        self,
+    ):
+        # Its polls reach the servers one after the other, the idle one first.
+        async def scenario(cluster):
+            placer = cluster.find_placer("a")
+            (isolated,) = {"a1", "a2"} - {placer}
+            epoch = max(s.fake_server.epoch for s in cluster.servers)
+            for server in cluster.servers:
+                server.is_cut_off_from = lambda token: (
+                    token > epoch + EPOCH_DISTANCE
+                )
+            self.cut_off(cluster, isolated)
+            cluster.turn_away(isolated, "silent")
+            await self.wait_for_line(cluster, isolated, " E830 zone_owned ")
+            await trio.sleep(2.0)  # until it holds no jobs for earlier owners
+            await self.start_job(cluster, placer, JOB, 5.0)
+            log = cluster.read_log(isolated)
+            while cluster.read_log(isolated).count(" E824 ") == log.count(
+                " E824 "
+            ):
+                await trio.sleep(0.005)
+            await trio.sleep(0.5)  # until shortly before it polls again
+            busy_id = self.find_server(cluster, JOB)
+            busy, idle = sorted(
+                cluster.servers, key=lambda s: s.fake_server.id != busy_id
+            )
+            idle.is_cut_off_from = lambda token: False
+            self.reconnect(cluster, isolated)
+            cluster.turn_away(isolated, "")
+            await self.wait_for_line(cluster, isolated, " E825 ")
+            await trio.sleep(0.1)
+            busy.is_cut_off_from = lambda token: False
+            await trio.sleep(2.0)
+
+        self.run_scenario(scenario, ["a", "a"], {"a1": "a", "a2": "a"})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/acacialine/tests/test_superseded_placers.py
+++ b/acacialine/tests/test_superseded_placers.py
@@ -101,6 +101,22 @@
         simulation.run(0.5, "first")
         self.assertEqual(simulation.server_pool.violations, [])
 
+    def test_a_job_of_a_placer_that_was_superseded_long_ago(self):
+        simulation = Simulation()
+        simulation.own("first", 1)
+        simulation.run(0.1, "first")
+        second = simulation.own("second", 2)
+        second.unreachable_until["i-0"] = 5.0
+        simulation.run(2.0, "first")
+        simulation.intake.receive(
+            build.submission(job_id=JOB), lambda answer: None, simulation.now
+        )
+        simulation.run(0.1, "first")
+        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        simulation.resign("first")
+        simulation.run(0.5, "second")
+        self.assertEqual(simulation.server_pool.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/acacialine/tools/zonestandin.py
+++ b/acacialine/tools/zonestandin.py
@@ -134,6 +134,7 @@
         next_late_delay_s: Called once per `outliving` request, returns the time
             after which it is executed.
         is_unresponsive: Whether it answers no request.
+        is_cut_off_from: Returns whether requests with a fencing token are lost.
         reaches_store: Whether its records arrive at the store.
         start_times: Times of the starts, without `outliving` ones.
         polls: Number of polls.
@@ -149,6 +150,7 @@
         LATE_REQUEST_DELAY_S
     )
     is_unresponsive: bool = False
+    is_cut_off_from: collections.abc.Callable[[int], bool] = lambda token: False
     reaches_store: bool = True
     state: str = "ready"
     start_times: list[float] = attrs.field(factory=list)
@@ -199,6 +201,8 @@
         if self.is_unresponsive or incarnation != self._incarnation:
             await trio.sleep_forever()
         content = msgspec.json.decode(body)
+        if self.is_cut_off_from(content["fencingToken"]):
+            await trio.sleep_forever()
         match scope["path"]:
             case "/acacialine/hold":
                 await self._handle_poll(content, send)
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -20,6 +20,9 @@
 REPORT_INTERVAL_S = 1.0
 # For the ticks in which a dispatcher decides to claim its zone.
 CLAIM_MARGIN_S = 0.4
+# A placer that no backend server has answered for so long after its claim may
+# lack jobs of an earlier one that did not hear of it.
+LATE_ANSWER_S = 0.5
 # Shortest time between two lists of servers to the same candidate.
 LIST_INTERVAL_S = 1.0
 
@@ -179,6 +182,11 @@
             predecessor_age_s=_format_age(self.predecessors.heard_at, now),
         )
 
+    def handle_first_answer(self, placer, now: float) -> None:
+        """Handles that a backend server obeys the placer here at last."""
+        if now - placer.owned_since > LATE_ANSWER_S:
+            self._assume_unknown_jobs(placer, now)
+
     def _assume_unknown_jobs(self, placer, now: float) -> None:
         """Lets a new placer here wait if it may lack jobs of earlier ones.
 
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -44,6 +44,9 @@
     ) -> None:
         """Records that a task was done under an earlier owner."""
 
+    def handle_first_answer(self, now: float) -> None:
+        """Handles that a backend server obeys this owner for the first time."""
+
 
 @attrs.define(eq=False)
 class Runs:
@@ -70,6 +73,7 @@
         unknown_before: Jobs known since before may have runs on a server that
             has left the list or obeys another owner.
         resumed_at: When this process resumed after it had been suspended.
+        is_obeyed: Whether a backend server has answered a poll of this owner.
         may_restart: Whether tasks of stalled runs may start elsewhere. Else
             these runs go on, as stopping them gains nothing.
     """
@@ -86,6 +90,7 @@
     awaits_list: bool = False
     unknown_before: float = -1e9
     resumed_at: float = -1e9
+    is_obeyed: bool = False
     may_restart: bool = True
 
     def __attrs_post_init__(self):
@@ -343,6 +348,9 @@
                 self._handle_restart(server, poll_result, now)
             server.incarnation = poll_result.incarnation
             server.incarnation_seen_at = now
+        if not self.is_obeyed:
+            self.is_obeyed = True
+            self.job_callbacks.handle_first_answer(now)
         self.outliers.record_response(server, now)
         self.crashes.retract(server, now)
         if server.has_restarted_since(polled_at):
