A lease is not dated by a clock that was read long ago

Callers saw: jobs wait or are refused though servers are empty. After 60 s without tasks a server takes one batch of starts and then none for a second, after 600 s for 13 s. Where the clock of a server really is 2% slow, a task could go on beside its next run.

Cause: a server without runs is not polled, so its clock was last read long ago. The end of a lease is computed from that reading for the slowest clock, 2% of the idle time too late. No job starts on a server whose leases may outlast its client's absence, and the runs there count as alive for as long. On a slow clock the deadline lies that far ahead, so that the server gives its longest lease from the arrival, whenever the job was last attended.

The new test fails: the lease ends 13 s after the start.

Change: a start on a new connection is dated by the clock that the first poll of that connection has read. Polls carry no lease by a clock read more than 3 s ago; connections that are idle for longer are closed, so such a poll is the first one.

After: the new test passes, and test_httppool, test_platform, test_placerhost.

--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -31,6 +31,8 @@
 # The first poll of a connection / the time after which an order is overdue.
 FIRST_POLL_TIMEOUT_FACTOR = 2.0
 START_MAX_AGE_S = 0.15  # a start request older than this is not sent
+# The clock of a server that was read longer ago dates no lease of a poll.
+MAX_CLOCK_AGE_S = httppool_lib.IDLE_EXPIRY_S
 
 _END_KINDS = {
     "done": zonetables.EndKind.DONE,
@@ -214,14 +216,6 @@
         run.not_after = max(run.not_after, lease.ends_by)
         run.may_have_started = False
         incarnation = self.server.incarnation
-
-        def may_send() -> bool:
-            return self.server.incarnation == incarnation
-
-        def on_sent() -> None:
-            run.may_have_started = True
-            leases.record_lease(self.server, lease)
-
         body = {
             "task": str(run.key),
             "run": run.number,
@@ -230,6 +224,32 @@
             "fencingToken": self.fencing_token,
         }
 
+        def may_send() -> bool:
+            if self.server.incarnation != incarnation:
+                return False
+            if self.server.clock_at > now:
+                date_again()
+            return True
+
+        def date_again() -> None:
+            """Computes the lease by the clock that the first poll has read."""
+            nonlocal lease
+            newer_lease = self._new_lease(clock.now())
+            if newer_lease is not None:
+                lease = newer_lease
+                run.not_after = lease.ends_by
+                body["deadlineMs"] = lease.deadline_ms
+                call.request = new_request()
+
+        def new_request() -> bytes:
+            return httppool_lib.finish_request(
+                self._start_head, msgspec.json.encode(body)
+            )
+
+        def on_sent() -> None:
+            run.may_have_started = True
+            leases.record_lease(self.server, lease)
+
         def on_reply(reply: httppool_lib.Reply) -> None:
             self.response_times.record(clock.now() - call.sent_at)
             outcome = _start_outcome(reply)
@@ -252,9 +272,7 @@
                 on_overdue()
 
         call = httppool_lib.Call(
-            httppool_lib.finish_request(
-                self._start_head, msgspec.json.encode(body)
-            ),
+            new_request(),
             START_TIMEOUT_S,
             on_reply,
             on_failure,
@@ -385,7 +403,11 @@
 
     def _next_lease(self, now: float) -> leases.Lease | None:
         """Returns the lease that a poll requests; None if it needs none."""
-        if not self.server.clock_at or not self.observer.may_extend_leases():
+        # By a clock read long ago its end would be off by the drift since.
+        is_outdated = now - self.server.clock_at > MAX_CLOCK_AGE_S
+        if not self.server.clock_at or is_outdated:
+            return None
+        if not self.observer.may_extend_leases():
             return None
         if not leases.needs_lease(self.server, now):
             return None
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -1,5 +1,6 @@
 """What the client of a backend server concludes from failed requests."""
 
+import json
 import unittest
 
 import trio
@@ -250,6 +251,26 @@
 
         self.play(scenario)
 
+    def test_the_lease_of_a_start_is_no_longer_after_a_long_idle_time(self):
+        async def scenario(backend, client, observer, run):
+            server = client.server
+            server.clock_at -= 600.0
+
+            def observe(polled, result, sent_at):
+                leases.observe_clock(
+                    polled, result.server_clock_ms, clock.now()
+                )
+
+            observer.handle_poll_result = observe
+            client.start(run)
+            await self.wait_for(lambda: observer.outcomes)
+            self.assertLess(leases.ends_by(server), clock.now() + 1.1)
+            path, body = backend.bodies[-1]
+            self.assertEqual(path, "run-start")
+            self.assertLessEqual(json.loads(body)["deadlineMs"], 2000)
+
+        self.play(scenario)
+
     def test_a_listing_does_not_wait_for_the_poll_in_flight(self):
         async def scenario(backend, client, observer, run):
             backend.delays_s["hold"] = 0.0
