A late first answer counts for unknown servers too

A placer that claimed its zone while it was cut off may lack servers that the real placer had meanwhile, as it may lack its jobs. Their leases are waited for in the same way.

--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -185,6 +185,7 @@
     def handle_first_answer(self, placer, now: float) -> None:
         """Handles that a backend server obeys the placer here at last."""
         if now - placer.owned_since > LATE_ANSWER_S:
+            placer.runs.assume_unknown_servers(now)
             self._assume_unknown_jobs(placer, now)
 
     def _assume_unknown_jobs(self, placer, now: float) -> None:
