--- a/acacialine/tests/test_combined_faults.py
+++ b/acacialine/tests/test_combined_faults.py
@@ -11,6 +11,8 @@
 import hypothesis
 from hypothesis import strategies
 
+from acacialine import directory as directory_lib
+from acacialine import ids
 from acacialine.tests import test_lost_dispatchers
 
 EXAMPLES = int(os.environ.get("ACACIALINE_EXAMPLES", "25"))
@@ -82,6 +84,27 @@
         simulation.send_again(job, 2)
         self.check()
 
+    def test_a_cut_off_zone_whose_records_have_expired_in_the_store(self):
+        simulation = self.simulation
+        simulation.cut_zones(10.0)
+        directory = directory_lib.Directory()
+        for port, zone in enumerate(test_lost_dispatchers.ZONES, 9000):
+            incarnation = ids.new_incarnation("127.0.0.1", port)
+            record = directory_lib.EntryRecord(
+                str(incarnation), zone, zone, f"127.0.0.1:{port}", 0.0, 0
+            )
+            directory.apply(record.id, directory_lib.encode(record), 0.0)
+        directory.apply(record.id, b"", 20.0)
+        simulation.zones["zone-a"].owner.placer.notices.update_zones(
+            directory.zones - {"zone-a"}
+        )
+        simulation.stops_lost_until = 4.0
+        simulation.submit("zone-a", JOB)
+        simulation.run_until(0.6)
+        simulation.lose_dispatcher("zone-a", True, False)
+        simulation.target = "zone-b"
+        self.check()
+
     def lose_own_zone(self):
         """Loses the zone of a job whose server the next placer can't reach."""
         simulation = self.simulation
