A dispatcher proves again that it is not cut off before it claims its zone

Callers saw: after a dispatcher has not heard its zone for 0.6 s once, it claims the zone each time that it is cut off, and the real placer resigns to it. Jobs are handed over, held or cut off; a task could run twice.

Cause: a dispatcher that hears nobody claims only when the store or another zone has answered since, or after 2.5 s. The begin of that time was kept when the placer was heard again, so that any answer since then was taken for the proof.

Evidence: the new test fails, it claims after 0.7 s.

Change: the time begins anew when a placer is heard.

After: the new test passes, and test_ownership and test_zonestart.

--- a/acacialine/ownership.py
+++ b/acacialine/ownership.py
@@ -213,7 +213,10 @@
                 self._not_before = now + FENCED_WAIT_S / 2
                 return Role.FOLLOWER
             return None
-        if current_placer is not None or not self._may_claim(now):
+        if current_placer is not None:
+            self._isolated_since = None
+            return None
+        if not self._may_claim(now):
             return None
         time_part = int(wall_s * EPOCH_UNITS_PER_S) << EPOCH_RANDOM_BITS
         epoch = time_part | random_bits
--- a/acacialine/tests/test_ownership.py
+++ b/acacialine/tests/test_ownership.py
@@ -81,6 +81,18 @@
         self.assertIsNone(self.decide(local, 5.0))
         self.assertIs(self.decide(local, 5.6), ownership.Role.PLACER)
 
+    def test_a_dispatcher_that_was_isolated_before_waits_again(self):
+        local = new_ownership()
+        self.record_heartbeat(local, "b", 2.0, claim=77)
+        self.assertIsNone(self.decide(local, 3.0))
+        local.last_contact_at = 4.0
+        for now in (4.1, 4.5, 5.0):
+            self.record_heartbeat(local, "b", now, claim=77)
+            self.assertIsNone(self.decide(local, now))
+        for now in (5.7, 8.0):
+            self.assertIsNone(self.decide(local, now))
+        self.assertIs(self.decide(local, 8.3), ownership.Role.PLACER)
+
     def test_an_isolated_dispatcher_respects_a_newer_claim_in_the_store(self):
         local = new_ownership()
         self.record_heartbeat(local, "b", 2.0, claim=77)
