A job that other zones know of is held from its arrival, not from the claim

Review of: a placer that only one server obeys starts a job beside the run of an earlier owner, if it knows the job from other zones; the hold counted from the first answer of a server.

--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -189,8 +189,6 @@
             return  # its answer is under way to the dispatcher
         if self.notices.repeat_answer(submission.job_id, origin):
             return
-        # Its last placer may have learned only now that it has a successor.
-        started_until = now if submission.handovers else self.obeyed_since
         other_zone = None
         remote = tables.remote_jobs.get(submission.job_id)
         if remote is not None:
@@ -214,7 +212,7 @@
                 )
             )
             return
-        job = self._new_job(submission, origin, ended_job, started_until, now)
+        job = self._new_job(submission, origin, ended_job, now)
         job.client_zone = client_zone
         job.heard_until = heard_at
         if self.policy.spread_retries:
@@ -267,19 +265,8 @@
         submission: Submission,
         origin,
         ended_job: zonetables.EndedJob | None,
-        started_until: float,
         now: float,
     ) -> zonetables.Job:
-        """Returns a job that is not open here.
-
-        Args:
-            submission: The job.
-            origin: Session of the dispatcher that submits it.
-            ended_job: How it ended here before; None if it did not.
-            started_until: Until when an earlier owner may have started tasks,
-                if it had the job.
-            now: The current time.
-        """
         queue = submission.queue
         arrived_at = now - submission.age_s
         ratio = self.tables.estimate_ratio.get(queue.name, 1.0)
@@ -315,6 +302,9 @@
             job.run_numbers.raise_all(
                 1 + RUN_NUMBERS_PER_OWNER * submission.handovers
             )
+            # An earlier owner may have learned only now that it has a
+            # successor, unless this placer has had the job since.
+            started_until = self.obeyed_since if ended_job else now
             job.hold_until = (
                 started_until + self.runs.lease_times.superseded_owner_s
             )
--- a/acacialine/tests/test_superseded_placers.py
+++ b/acacialine/tests/test_superseded_placers.py
@@ -117,6 +117,24 @@
         simulation.run(0.5, "second")
         self.assertEqual(simulation.server_pool.violations, [])
 
+    def test_a_job_that_another_zone_knows_of_a_placer_superseded_long_ago(
+        self,
+    ):
+        simulation = Simulation()
+        simulation.own("first", 1)
+        simulation.run(0.1, "first")
+        second = simulation.own("second", 2)
+        second.unreachable_until["i-0"] = 5.0
+        simulation.run(2.0, "first")
+        job = build.submission(job_id=JOB)
+        simulation.intake.receive(job, lambda answer: None, simulation.now)
+        simulation.run(0.1, "first")
+        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        second.placer.record_remote_job(JOB, "zone-a", simulation.now)
+        second.placer.submit(job, "other session", simulation.now)
+        simulation.run(0.5, "first")
+        self.assertEqual(simulation.server_pool.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
