A start whose lease can't be dated again is not sent

Review of: if a job ends, or was last attended more than a second ago, while the connection for its start is opened, the start was sent with the lease by the old clock. It is not sent now, and not held against the server.

--- a/acacialine/platform/serverclient.py
+++ b/acacialine/platform/serverclient.py
@@ -225,21 +225,20 @@
         }
 
         def may_send() -> bool:
-            if self.server.incarnation != incarnation:
-                return False
-            if self.server.clock_at > now:
-                date_again()
-            return True
+            return self.server.incarnation == incarnation and (
+                self.server.clock_at <= now or date_again()
+            )
 
-        def date_again() -> None:
+        def date_again() -> bool:
             """Computes the lease by the clock that the first poll has read."""
             nonlocal lease
-            newer_lease = self._new_lease(clock.now())
-            if newer_lease is not None:
-                lease = newer_lease
-                run.not_after = lease.ends_by
-                body["deadlineMs"] = lease.deadline_ms
-                call.request = new_request()
+            lease = self._new_lease(clock.now())
+            if lease is None:
+                return False
+            run.not_after = lease.ends_by
+            body["deadlineMs"] = lease.deadline_ms
+            call.request = new_request()
+            return True
 
         def new_request() -> bytes:
             return httppool_lib.finish_request(
@@ -265,9 +264,11 @@
 
         def on_failure(error: errors.AcacialineError) -> None:
             if isinstance(error, httppool_lib.NotSentError):
-                self.observer.handle_start_outcome(
-                    run, orders.StartOutcome.UNHEALTHY
-                )
+                # Without a lease the server is not at fault.
+                outcome = orders.StartOutcome.UNHEALTHY
+                if lease is None:
+                    outcome = orders.StartOutcome.NOT_STARTED
+                self.observer.handle_start_outcome(run, outcome)
             elif not call.is_overdue:
                 on_overdue()
 
--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -271,6 +271,29 @@
 
         self.play(scenario)
 
+    def test_a_job_that_ends_while_its_start_waits_gets_no_longer_lease(self):
+        async def scenario(backend, client, observer, run):
+            server = client.server
+            server.clock_at -= 600.0
+
+            def observe(polled, result, sent_at):
+                leases.observe_clock(
+                    polled, result.server_clock_ms, clock.now()
+                )
+                run.detach(clock.now())
+
+            observer.handle_poll_result = observe
+            client.start(run)
+            await self.wait_for(lambda: observer.outcomes)
+            starts = [
+                json.loads(body)["deadlineMs"]
+                for path, body in backend.bodies
+                if path == "run-start"
+            ]
+            self.assertLessEqual(max(starts, default=0), 2000)
+
+        self.play(scenario)
+
     def test_a_listing_does_not_wait_for_the_poll_in_flight(self):
         async def scenario(backend, client, observer, run):
             backend.delays_s["hold"] = 0.0
