A handed-over job starts only with a list of servers read since

Callers saw: a task may run twice if its first run is on a server that has just joined, and the zone gets another placer.

Cause: a placer starts handed-over jobs at once when all servers of its list have answered, if that list was read after its claim. A placer that was active beside it until the hand-over may have read a newer list.

Evidence: the new test, a scripted simulation of two placers, shows TWICE before (found by the review of this issue by reading; not seen with processes).

Change: the list has to be read by a request that was sent after the hand-over, and is requested then.

--- a/acacialine/placement.py
+++ b/acacialine/placement.py
@@ -135,7 +135,9 @@
             and (
                 now >= j.hold_until
                 or (
-                    all_runs_known and j.known_since > self._runs.unknown_before
+                    all_runs_known
+                    and j.known_since > self._runs.unknown_before
+                    and j.handed_over_at <= self._runs.list_sent_at
                 )
             )
         ]
--- a/acacialine/placer.py
+++ b/acacialine/placer.py
@@ -304,9 +304,11 @@
             )
             # An earlier owner may have learned only now that it has a
             # successor, unless this placer has had the job since.
-            started_until = self.obeyed_since if ended_job else now
+            held_since = self.obeyed_since
+            if ended_job is None:
+                held_since = job.handed_over_at = now
             job.hold_until = (
-                started_until + self.runs.lease_times.superseded_owner_s
+                held_since + self.runs.lease_times.superseded_owner_s
             )
         return job
 
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -152,6 +152,8 @@
             client_zone,
             min(sent_at, self._dispatcher.inputs_read_until),
         )
+        if submission.handovers:
+            self._dispatcher.store_reader.request_servers()
         self._dispatcher.wake()
 
     def cancel(self, job_id: str, origin, reason: str) -> None:
@@ -378,9 +380,10 @@
         runs.unknown_before = max(
             runs.unknown_before, _unknown_before(reader, runs.lease_times)
         )
+        runs.list_sent_at = sent_at
         if sent_at >= self.placer.owned_since:
-            self.placer.runs.is_list_current = True
-            self.placer.runs.awaits_list = False
+            runs.is_list_current = True
+            runs.awaits_list = False
             self._dispatcher.wake()
 
     def _add_poller(self, server: zonetables.Server) -> ServerPoller:
@@ -763,6 +766,7 @@
         dispatcher.zone, settings.late_share, now, lease_times, settings.policy
     )
     placer.runs.is_list_current = False
+    placer.runs.list_sent_at = -math.inf
     placer.runs.awaits_list = (
         now - dispatcher.store_reader.servers_read_at
         > dispatcher.store_reader.removal_delay_s
--- a/acacialine/tests/test_superseded_placers.py
+++ b/acacialine/tests/test_superseded_placers.py
@@ -15,9 +15,21 @@
 
 
 class Owner(zonesimulation.Owner):
-    """A placer that, as its host, polls no backend server without runs."""
+    """A placer that, as its host, polls no backend server without runs.
+
+    It reads the list of servers again only after a job was handed over.
+    """
+
+    def __init__(self, simulation, epoch, now):
+        super().__init__(simulation, epoch, now)
+        self.placer.runs.list_sent_at = now
 
     def tick(self, now):
+        runs = self.placer.runs
+        jobs = self.placer.tables.jobs.values()
+        if any(job.handed_over_at > runs.list_sent_at for job in jobs):
+            self.read_servers(now)
+            runs.list_sent_at = now
         for server in self.placer.tables.servers.values():
             is_idle = (
                 server.runs_listed
@@ -135,6 +147,29 @@
         simulation.run(0.5, "first")
         self.assertEqual(simulation.server_pool.violations, [])
 
+    def test_a_job_on_a_server_that_the_next_placer_does_not_list_yet(self):
+        simulation = Simulation()
+        simulation.own("first", 1)
+        simulation.run(0.1, "first")
+        simulation.own("second", 2)
+        pool = simulation.server_pool
+        first = simulation.owners["first"]
+        for server in pool.servers.values():
+            server.cpu = 0
+        pool.add("i-2", 16000)
+        first.read_servers(simulation.now)
+        simulation.run(0.1, "first")
+        simulation.intake.receive(
+            build.submission(job_id=JOB), lambda answer: None, simulation.now
+        )
+        simulation.run(0.1, "first")
+        self.assertTrue(pool.servers["i-2"].runs)
+        for server in pool.servers.values():
+            server.cpu = 16000
+        simulation.resign("first")
+        simulation.run(0.3, "second")
+        self.assertEqual(pool.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 import attrs
@@ -68,6 +69,8 @@
         is_list_current: Whether the list of servers was read from the store
             since this placer became the owner. An older list may lack a server
             on which the earlier owner has started runs.
+        list_sent_at: When the request was sent that last read the list;
+            infinite where the list is never read.
         awaits_list: Whether no task starts until the list is read, as the one
             at the takeover is so old that servers may have left since.
         unknown_before: Jobs known since before may have runs on a server that
@@ -87,6 +90,7 @@
     doubtful: doubtfulruns.DoubtfulRuns = attrs.field(init=False)
     lingering: lingeringruns.LingeringRuns = attrs.field(init=False)
     is_list_current: bool = True
+    list_sent_at: float = math.inf
     awaits_list: bool = False
     unknown_before: float = -1e9
     resumed_at: float = -1e9
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -355,6 +355,8 @@
         estimate_s: Expected duration of a task in s.
         hold_until: No task starts before this time unless all runs are known,
             because an earlier owner may still run it.
+        handed_over_at: When an earlier owner handed it over; the list of
+            servers is to be read since, as that one may know newer servers.
         first_start_at: When its first task was started; None before.
         not_before: No task starts before this time, because its dispatcher
             may have moved it to another placer while this one was paused, or
@@ -406,6 +408,7 @@
     estimate_s: float
     known_since: float = 0.0
     hold_until: float = 0.0
+    handed_over_at: float = -1e9
     not_before: float = 0.0
     waiting: collections.deque = attrs.field(factory=collections.deque)
     done: set[int] = attrs.field(factory=set)
