--- a/acacialine/leases.py
+++ b/acacialine/leases.py
@@ -11,6 +11,9 @@
 SLOWEST_CLOCK_RATE = 0.98  # monotonic clocks may run 2% slow on the platform
 
 
+# Time by which a backend server has certainly killed the runs of an expired
+# lease.
+KILL_S = 0.2
 # Margin for the delay of the order or poll that renews a lease.
 RENEWAL_MARGIN_S = 0.08
 # Time after which clients of the platform send a job again that got no answer.
@@ -57,15 +60,6 @@
         """
         return max(self.resubmit_s - RENEWAL_MARGIN_S, self.max_lease_s)
 
-    @property
-    def kill_s(self) -> float:
-        """Time after the end of a lease by which its runs have certainly ended.
-
-        A backend server kills them then, which takes time. The clients of their
-        jobs may be back after it.
-        """
-        return self.max_unattended_s - self.length_s / SLOWEST_CLOCK_RATE
-
     @property
     def superseded_owner_s(self) -> float:
         """Time after which all runs of an owner with a successor have ended.
--- a/acacialine/zoneruns.py
+++ b/acacialine/zoneruns.py
@@ -275,7 +275,7 @@
                 self.lingering.check(run, now)
                 lease_until = max(server.lease_until, run.not_after)
                 if (
-                    now > lease_until + self.lease_times.kill_s
+                    now > lease_until + leases.KILL_S
                     and run.state != zonetables.RunState.STARTING
                 ):
                     self._handle_run_end(run, zonetables.EndKind.EXPIRED, now)
