--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -117,9 +117,9 @@
         placer = build.placer(build.server("i-1"), build.server("i-2"))
         (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=9.0)
         self.crash(placer, run.server, 0.1)
-        (suspect,), _ = self.start(placer, 1.2)
+        (suspect,), _ = self.start(placer, 1.25)
         joining, _ = self.start(
-            placer, 1.21, job_id="00000000000000bb", step=build.step(1)
+            placer, 1.26, job_id="00000000000000bb", step=build.step(1)
         )
         self.assertEqual(joining, [])
         self.assertEqual(suspect.server.isolated_runs, 1)
@@ -168,7 +168,7 @@
         successor = build.placer()
         (run,), _ = self.start(first, 0.0, step=build.step(1), left_s=9.0)
         self.crash(first, run.server, 0.1)
-        (run,), _ = self.start(first, 1.2)
+        (run,), _ = self.start(first, 1.25)
         self.crash(first, run.server, 1.3)
         for order in first.take_orders():
             if isinstance(order, orders.ShareLosses):
@@ -189,7 +189,7 @@
         servers = [run.server]
         for now in (0.1, 1.3, 2.5, 3.7):
             placer.runs.record_poll_timeout(run.server, now)
-            (run,), answers = self.start(placer, now + 1.1)
+            (run,), answers = self.start(placer, now + 1.25)
             servers.append(run.server)
             self.assertEqual(answers, [])
             self.assertEqual(len(placer.tables.losses), 0)
