--- a/acacialine/tests/test_losses.py
+++ b/acacialine/tests/test_losses.py
@@ -187,9 +187,9 @@
         placer = build.placer(*(build.server(f"i-{n}") for n in range(6)))
         (run,), _ = self.start(placer, 0.0, step=build.step(1), left_s=9.0)
         servers = [run.server]
-        for now in (0.1, 1.3, 2.5, 3.7):
+        for now in (0.1, 1.4, 2.7, 4.0):
             placer.runs.record_poll_timeout(run.server, now)
-            (run,), answers = self.start(placer, now + 1.25)
+            (run,), answers = self.start(placer, now + 1.2)
             servers.append(run.server)
             self.assertEqual(answers, [])
             self.assertEqual(len(placer.tables.losses), 0)
