--- a/acacialine/tests/test_superseded_placers.py
+++ b/acacialine/tests/test_superseded_placers.py
@@ -12,6 +12,8 @@
 
 JOB = "00000000000000aa"
 TICK_S = 0.01
+SUSPECT_SILENCE_S = 0.6
+SILENCE_S = 1.15  # until a placer counts a silent dispatcher as lost
 
 
 class Owner(zonesimulation.Owner):
@@ -97,6 +99,16 @@
         )
 
 
+class IsolatedPlacerSimulation(Simulation):
+    """The same; stops are lost, and another zone confirms open jobs."""
+
+    def draw_stop_delays(self, run):
+        return None, None
+
+    def share_open_jobs(self, owner, job_ids, number):
+        owner.placer.notices.confirm(number, "zone-b")
+
+
 class SupersededPlacersTest(unittest.TestCase):
     def test_a_job_does_not_return_to_a_placer_that_was_superseded(self):
         simulation = Simulation()
@@ -170,6 +182,37 @@
         simulation.run(0.3, "second")
         self.assertEqual(pool.violations, [])
 
+    def test_a_job_whose_placer_does_not_hear_its_zone_any_more(self):
+        # Its dispatcher hands it over at once. The successor is obeyed by a
+        # server that the first placer does not poll, as it is idle.
+        simulation = IsolatedPlacerSimulation()
+        first = simulation.own("first", 1)
+        first.placer.notices.update_zones(frozenset(("zone-b",)))
+        simulation.run(0.1, "first")
+        second = simulation.own("second", 2)
+        second.unreachable_until["i-0"] = 9.0
+        simulation.run(2.0, "first")
+        simulation.server_pool.job_length_s[JOB] = 5.0
+        simulation.intake.receive(
+            build.submission(job_id=JOB, step=build.step(1), left_s=9.0),
+            lambda answer: None,
+            simulation.now,
+        )
+        simulation.run(0.5, "first")
+        self.assertTrue(simulation.server_pool.servers["i-0"].runs)
+        cut_at = simulation.now
+        first.placer.record_heard("session", cut_at)
+        simulation.at(
+            cut_at + SUSPECT_SILENCE_S,
+            lambda at: first.placer.set_suspect("session", True, at),
+        )
+        simulation.at(
+            cut_at + SILENCE_S,
+            lambda at: first.placer.remove_origin("session", True, at),
+        )
+        simulation.run(4.0, "second")
+        self.assertEqual(simulation.server_pool.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
