--- a/acacialine/doubtfulruns.py
+++ b/acacialine/doubtfulruns.py
@@ -5,7 +5,7 @@
 started: a run that is being stopped is listed until its end is. If it is not
 listed, the backend server rejects the start from now on by the number of the
 run, so its capacity and its task are free. Without such proof they are occupied
-until the lease of the run has certainly ended.
+until the server has certainly killed the run, after the end of its lease.
 """
 
 import collections.abc
@@ -127,11 +127,11 @@
                 stops=run.stop_count,
                 doubtful_ms=zonetables.milliseconds(now - run.unanswered_at),
             )
-        is_seen = kind not in (
+        is_unlisted = kind in (
             zonetables.EndKind.LOST,
             zonetables.EndKind.EXPIRED,
         )
-        if not is_seen and run.may_start_late:
+        if is_unlisted and run.may_start_late:
             # Its incarnation refuses the start; a later one would not.
             drop_late_starts(run.server, now)
             run.server.late_starts[run.id] = run
--- a/acacialine/placerhost.py
+++ b/acacialine/placerhost.py
@@ -204,7 +204,10 @@
         )
 
     def knows_jobs(self) -> bool:
-        """Returns whether no unknown job of an earlier owner may run."""
+        """Returns whether a successor that is told all knows all jobs.
+
+        A placer that no server obeys yet may have to learn of others.
+        """
         return self.placer.runs.is_obeyed and not self.placer.may_lack_jobs(
             clock.now()
         )
@@ -641,7 +644,7 @@
         now = clock.now()
         self.placer.runs.apply_poll(server, result, sent_at, now)
         if self.placer.runs.is_obeyed and not was_obeyed:
-            self._dispatcher.zone_handover.handle_first_answer(self.placer, now)
+            self._dispatcher.zone_handover.record_first_answer(self.placer, now)
         poller = self._pollers.get(server.id)
         if poller is not None and server.restarted_at > restarted_at:
             # The poll in flight may take long to fail.
--- a/acacialine/tests/test_placer.py
+++ b/acacialine/tests/test_placer.py
@@ -1156,8 +1156,19 @@
         placer.tick(1.2)
         self.assertEqual(build.starts(placer.take_orders()), [])
         placer.tick(1.25)
-        (retried,) = build.starts(placer.take_orders())
+        new_orders = placer.take_orders()
+        (retried,) = build.starts(new_orders)
         self.assertIsNot(retried.server, run.server)
+        ended = dict(build.logged(new_orders))[events.Event.ZONE_RUN_ENDED]
+        self.assertEqual(ended["how"], "expired")
+
+    def test_an_unanswered_start_may_come_late_after_its_lease(self):
+        placer = build.placer(build.server("i-1"), build.server("i-2"))
+        (run,) = build.starts(self.submit(placer, step=build.step(1)))
+        run.not_after = run.server.lease_until = 1.0
+        placer.runs.handle_start_result(run, orders.StartOutcome.UNKNOWN, 0.1)
+        placer.tick(1.25)
+        self.assertIn(run.id, run.server.late_starts)
 
 
 if __name__ == "__main__":
--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -84,11 +84,13 @@
     def test_a_late_first_answer_after_a_takeover_counts_as_such(self):
         self.placer.runs.is_obeyed = False
         self.placer.owned_since = -5.0
+        self.assertFalse(self.host.knows_jobs())
         result = orders.PollResult(1, 1000, (), ())
         for _ in range(2):
             self.host.handle_poll_result(self.server, result, clock.now())
-        handle = self.host._dispatcher.zone_handover.handle_first_answer
+        handle = self.host._dispatcher.zone_handover.record_first_answer
         handle.assert_called_once()
+        self.assertTrue(self.host.knows_jobs())
         self.assertGreater(self.placer.obeyed_since, 0.0)
 
     def test_a_server_lost_from_the_list_after_a_takeover_has_unknown_runs(
--- a/acacialine/tests/test_superseded_placers.py
+++ b/acacialine/tests/test_superseded_placers.py
@@ -12,6 +12,7 @@
 
 JOB = "00000000000000aa"
 TICK_S = 0.01
+RETRANSMIT_S = 1.3  # after which a client sends a job again
 SUSPECT_SILENCE_S = 0.6
 SILENCE_S = 1.15  # until a placer counts a silent dispatcher as lost
 
@@ -99,16 +100,30 @@
         )
 
 
-class IsolatedPlacerSimulation(Simulation):
-    """The same; stops are lost, and another zone confirms open jobs."""
+class TwoZonesSimulation(Simulation):
+    """The same; another zone confirms open jobs."""
 
-    def draw_stop_delays(self, run):
-        return None, None
+    def __init__(self):
+        super().__init__()
+        self.server_pool.shows_progress = True
+        self.server_pool.job_length_s[JOB] = 5.0
+
+    def own(self, placer_id, epoch):
+        owner = super().own(placer_id, epoch)
+        owner.placer.notices.update_zones(frozenset(("zone-b",)))
+        return owner
 
     def share_open_jobs(self, owner, job_ids, number):
         owner.placer.notices.confirm(number, "zone-b")
 
 
+class IsolatedPlacerSimulation(TwoZonesSimulation):
+    """The same; stops are lost."""
+
+    def draw_stop_delays(self, run):
+        return None, None
+
+
 class SupersededPlacersTest(unittest.TestCase):
     def test_a_job_does_not_return_to_a_placer_that_was_superseded(self):
         simulation = Simulation()
@@ -187,12 +202,10 @@
         # server that the first placer does not poll, as it is idle.
         simulation = IsolatedPlacerSimulation()
         first = simulation.own("first", 1)
-        first.placer.notices.update_zones(frozenset(("zone-b",)))
         simulation.run(0.1, "first")
         second = simulation.own("second", 2)
         second.unreachable_until["i-0"] = 9.0
         simulation.run(2.0, "first")
-        simulation.server_pool.job_length_s[JOB] = 5.0
         simulation.intake.receive(
             build.submission(job_id=JOB, step=build.step(1), left_s=9.0),
             lambda answer: None,
@@ -213,6 +226,26 @@
         simulation.run(4.0, "second")
         self.assertEqual(simulation.server_pool.violations, [])
 
+    def test_a_kept_job_whose_client_comes_to_another_placer_of_its_zone(self):
+        # No message is lost. The other zones know of the job, but not a second
+        # placer of its own.
+        simulation = TwoZonesSimulation()
+        first = simulation.own("first", 1)
+        simulation.run(0.1, "first")
+        second = simulation.own("second", 2)
+        second.unreachable_until["i-0"] = 9.0
+        simulation.run(2.0, "first")
+        job = build.submission(job_id=JOB, step=build.step(1), left_s=1.5)
+        first.placer.submit(job, "session", simulation.now)
+        simulation.run(1.46, "first")
+        self.assertTrue(simulation.server_pool.servers["i-0"].runs)
+        for is_confirmed in (False, True):
+            first.placer.keep_job(JOB, "session", is_confirmed, simulation.now)
+        simulation.run(RETRANSMIT_S, "first")
+        second.placer.submit(job, "other session", simulation.now)
+        simulation.run(0.5, "first")
+        self.assertEqual(simulation.server_pool.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/acacialine/tests/test_zonehandover.py
+++ b/acacialine/tests/test_zonehandover.py
@@ -18,7 +18,7 @@
         for answered_at, may_lack_jobs in ((0.1, False), (4.0, True)):
             with self.subTest(answered_at=answered_at):
                 placer = build.placer()
-                handover.handle_first_answer(placer, answered_at)
+                handover.record_first_answer(placer, answered_at)
                 held_at = answered_at + HOLD_S - 0.01
                 self.assertEqual(placer.may_lack_jobs(held_at), may_lack_jobs)
                 self.assertFalse(placer.may_lack_jobs(held_at + 0.02))
--- a/acacialine/zonehandover.py
+++ b/acacialine/zonehandover.py
@@ -182,8 +182,12 @@
             predecessor_age_s=_format_age(self.predecessors.heard_at, now),
         )
 
-    def handle_first_answer(self, placer, now: float) -> None:
-        """Handles that a backend server obeys the placer here at last."""
+    def record_first_answer(self, placer, now: float) -> None:
+        """Records that a backend server obeys the placer here at last.
+
+        Until then nobody had to know of its claim, so an earlier placer may
+        have gone on.
+        """
         if now - placer.owned_since > LATE_ANSWER_S:
             placer.runs.assume_unknown_servers(now)
             self._assume_unknown_jobs(placer, now)
--- a/acacialine/zonetables.py
+++ b/acacialine/zonetables.py
@@ -99,7 +99,7 @@
     LAPSED = "lapsed"  # its lease expired
     BROKEN = "broken"  # reported as "broken" or "alone"
     LOST = "lost"  # no longer listed
-    EXPIRED = "expired"  # its lease has ended; its server was not heard
+    EXPIRED = "expired"  # killed after its lease, before its end was listed
     CRASHED = "crashed"  # a later incarnation of the server has its address
 
 
