The fault proxy holds the end of a connection as it holds bytes

A held route passed the end of a connection on at once where no bytes were before it, so a client that left during a cut was always seen to leave, and no soak could show what happens when it is not. Ends now wait for the release, after the bytes before them; resets still pass.

--- a/acacialine/tools/faultproxy.py
+++ b/acacialine/tools/faultproxy.py
@@ -48,8 +48,9 @@
             for all.
         delay_s: Delay of each direction.
         reset_after_bytes: Request bytes forwarded before RESET_MID_BODY.
-        held: Directions, request (True) and reply (False), in which bytes are
-            held back until they are released, as in a network partition.
+        held: Directions, request (True) and reply (False), in which bytes and
+            the end of the connection are held back until they are released, as
+            in a network partition.
         delay_by_dialler: For peer links: returns the delay in seconds for
             the name of the dialler, or None to partition it.
         held_diallers: For peer links with `delay_by_dialler`: advertised ports
@@ -213,11 +214,11 @@
     ) -> None:
         while True:
             data = await source.receive_some(CHUNK_BYTES)
-            if not data:
-                return
             await self.route.wait_released(
                 upstream, self.dialler_port, self._opened_at_hold
             )
+            if not data:
+                return
             data = await apply_fault(data)
             due = trio.current_time() + self.delay_s
             await send_channel.send((due, data))
