--- a/acacialine/tests/test_lost_zones.py
+++ b/acacialine/tests/test_lost_zones.py
@@ -17,6 +17,7 @@
 RETRANSMIT_S = 1.3  # retransmitMs of the platform
 DEADLINE_MS = 8000
 SETTLING_S = 2.5
+LEFT_AFTER_S = 0.1
 EPOCH_DISTANCE = 1 << 17  # between fencing tokens of two claims
 LATE_S = 4.0  # for which a late request is on its way
 JOB = "00000000000000ab"
@@ -27,14 +28,16 @@
 class LostZonesTest(unittest.TestCase):
     """Each server runs two tasks; their ends are set by the tests."""
 
-    def run_scenario(self, scenario, servers, dispatchers):
+    def run_scenario(
+        self, scenario, servers, dispatchers, deadline_ms=DEADLINE_MS
+    ):
         async def main():
             with tempfile.TemporaryDirectory() as directory:
                 async with trio.open_nursery() as nursery:
                     cluster = zonecluster.Cluster(
                         nursery,
                         pathlib.Path(directory),
-                        deadline_ms=DEADLINE_MS,
+                        deadline_ms=deadline_ms,
                     )
                     try:
                         await cluster.start(servers, dispatchers)
@@ -359,6 +362,50 @@
 
         self.run_scenario(scenario, ["a"], {"a1": "a"})
 
+    async def await_both_answers(self, cluster):
+        while len(cluster.exchanges) < 2:
+            await trio.sleep(0.01)
+
+    def test_a_client_that_returns_to_a_cut_off_zone_unseen_runs_no_task_twice(
+        self,
+    ):
+        async def scenario(cluster):
+            cluster.fake_servers.job_length_s[JOB] = 6.0
+            await self.start_job(cluster, "a1", JOB, 1.0)
+            left_at = trio.current_time() + LEFT_AFTER_S
+            self.cut_off(cluster, "b1")
+            cluster.turn_away("b1", "silent")
+            await trio.sleep_until(left_at + RETRANSMIT_S)
+            self.send_job(cluster, "b1", JOB, 1.0)
+            await self.await_both_answers(cluster)
+
+        self.run_scenario(
+            scenario,
+            ["a", "b", "c"],
+            {"a1": "a", "b1": "b", "c1": "c"},
+            deadline_ms=1500,
+        )
+
+    def test_a_client_that_left_unseen_before_its_request_was_read(self):
+        async def scenario(cluster):
+            (entry,) = {"a1", "a2"} - {cluster.find_placer("a")}
+            cluster.fake_servers.job_length_s[JOB] = 3.0
+            cluster.processes[entry].send_signal(signal.SIGSTOP)
+            sent_at = trio.current_time()
+            self.send_job(cluster, entry, JOB, 1.0)
+            await trio.sleep_until(sent_at + RETRANSMIT_S - 0.05)
+            cluster.processes[entry].send_signal(signal.SIGCONT)
+            await trio.sleep_until(sent_at + LEFT_AFTER_S + RETRANSMIT_S)
+            self.send_job(cluster, "b1", JOB, 1.0)
+            await self.await_both_answers(cluster)
+
+        self.run_scenario(
+            scenario,
+            ["a", "b"],
+            {"a1": "a", "a2": "a", "b1": "b"},
+            deadline_ms=1500,
+        )
+
     def test_a_job_whose_own_zone_is_lost_but_for_a_new_dispatcher(self):
         async def restart(cluster, successor):
             cluster.processes[successor].kill()
