--- a/acacialine/tests/test_serverclient.py
+++ b/acacialine/tests/test_serverclient.py
@@ -251,46 +251,50 @@
 
         self.play(scenario)
 
+    async def start_after_idle_time(self, backend, client, observer, run, job):
+        """Starts a run on a server whose clock was read long ago.
+
+        Args:
+            backend: The fake backend server.
+            client: Its client.
+            observer: The observer of the client.
+            run: The run.
+            job: The job of the run once the clock has been read again.
+
+        Returns:
+            The deadlines of the start requests, on the clock of the server.
+        """
+
+        def observe(polled, result, sent_at):
+            leases.observe_clock(polled, result.server_clock_ms, clock.now())
+            run.job = job
+
+        observer.handle_poll_result = observe
+        client.server.clock_at -= 600.0
+        client.start(run)
+        await self.wait_for(lambda: observer.outcomes)
+        return [
+            json.loads(body)["deadlineMs"]
+            for path, body in backend.bodies
+            if path == "run-start"
+        ]
+
     def test_the_lease_of_a_start_is_no_longer_after_a_long_idle_time(self):
         async def scenario(backend, client, observer, run):
-            server = client.server
-            server.clock_at -= 600.0
-
-            def observe(polled, result, sent_at):
-                leases.observe_clock(
-                    polled, result.server_clock_ms, clock.now()
-                )
-
-            observer.handle_poll_result = observe
-            client.start(run)
-            await self.wait_for(lambda: observer.outcomes)
-            self.assertLess(leases.ends_by(server), clock.now() + 1.1)
-            path, body = backend.bodies[-1]
-            self.assertEqual(path, "run-start")
-            self.assertLessEqual(json.loads(body)["deadlineMs"], 2000)
+            (deadline_ms,) = await self.start_after_idle_time(
+                backend, client, observer, run, run.job
+            )
+            self.assertLessEqual(deadline_ms, 2000)
+            self.assertLess(leases.ends_by(client.server), clock.now() + 1.1)
 
         self.play(scenario)
 
     def test_a_job_that_ends_while_its_start_waits_gets_no_longer_lease(self):
         async def scenario(backend, client, observer, run):
-            server = client.server
-            server.clock_at -= 600.0
-
-            def observe(polled, result, sent_at):
-                leases.observe_clock(
-                    polled, result.server_clock_ms, clock.now()
-                )
-                run.detach(clock.now())
-
-            observer.handle_poll_result = observe
-            client.start(run)
-            await self.wait_for(lambda: observer.outcomes)
-            starts = [
-                json.loads(body)["deadlineMs"]
-                for path, body in backend.bodies
-                if path == "run-start"
-            ]
-            self.assertLessEqual(max(starts, default=0), 2000)
+            deadlines_ms = await self.start_after_idle_time(
+                backend, client, observer, run, None
+            )
+            self.assertLessEqual(max(deadlines_ms, default=0), 2000)
 
         self.play(scenario)
 
--- a/acacialine/tests/test_superseded_placers.py
+++ b/acacialine/tests/test_superseded_placers.py
@@ -125,33 +125,38 @@
 
 
 class SupersededPlacersTest(unittest.TestCase):
+    def own_twice(self, simulation):
+        """Returns two placers of the zone; the second one reaches only i-1."""
+        first = simulation.own("first", 1)
+        simulation.run(0.1, "first")
+        second = simulation.own("second", 2)
+        second.unreachable_until["i-0"] = 9.0
+        simulation.run(2.0, "first")
+        return first, second
+
+    def start(self, simulation, placer_id, seconds=0.1, **changes):
+        """Starts a job at a placer."""
+        job = build.submission(job_id=JOB, **changes)
+        simulation.intake.receive(job, lambda answer: None, simulation.now)
+        simulation.run(seconds, placer_id)
+        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        return job
+
     def test_a_job_does_not_return_to_a_placer_that_was_superseded(self):
         simulation = Simulation()
         simulation.own("first", 1)
         simulation.run(0.1, "first")
         second = simulation.own("second", 2)
         second.unreachable_until["i-0"] = 3.0
-        simulation.intake.receive(
-            build.submission(job_id=JOB), lambda answer: None, simulation.now
-        )
-        simulation.run(0.1, "second")
-        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        self.start(simulation, "second")
         simulation.resign("second")
         simulation.run(0.5, "first")
         self.assertEqual(simulation.server_pool.violations, [])
 
     def test_a_job_of_a_placer_that_was_superseded_long_ago(self):
         simulation = Simulation()
-        simulation.own("first", 1)
-        simulation.run(0.1, "first")
-        second = simulation.own("second", 2)
-        second.unreachable_until["i-0"] = 5.0
-        simulation.run(2.0, "first")
-        simulation.intake.receive(
-            build.submission(job_id=JOB), lambda answer: None, simulation.now
-        )
-        simulation.run(0.1, "first")
-        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        self.own_twice(simulation)
+        self.start(simulation, "first")
         simulation.resign("first")
         simulation.run(0.5, "second")
         self.assertEqual(simulation.server_pool.violations, [])
@@ -160,15 +165,8 @@
         self,
     ):
         simulation = Simulation()
-        simulation.own("first", 1)
-        simulation.run(0.1, "first")
-        second = simulation.own("second", 2)
-        second.unreachable_until["i-0"] = 5.0
-        simulation.run(2.0, "first")
-        job = build.submission(job_id=JOB)
-        simulation.intake.receive(job, lambda answer: None, simulation.now)
-        simulation.run(0.1, "first")
-        self.assertIn(JOB, simulation.server_pool.started_jobs)
+        _, second = self.own_twice(simulation)
+        job = self.start(simulation, "first")
         second.placer.record_remote_job(JOB, "zone-a", simulation.now)
         second.placer.submit(job, "other session", simulation.now)
         simulation.run(0.5, "first")
@@ -186,10 +184,7 @@
         pool.add("i-2", 16000)
         first.read_servers(simulation.now)
         simulation.run(0.1, "first")
-        simulation.intake.receive(
-            build.submission(job_id=JOB), lambda answer: None, simulation.now
-        )
-        simulation.run(0.1, "first")
+        self.start(simulation, "first")
         self.assertTrue(pool.servers["i-2"].runs)
         for server in pool.servers.values():
             server.cpu = 16000
@@ -198,20 +193,10 @@
         self.assertEqual(pool.violations, [])
 
     def test_a_job_whose_placer_does_not_hear_its_zone_any_more(self):
-        # Its dispatcher hands it over at once. The successor is obeyed by a
-        # server that the first placer does not poll, as it is idle.
+        # The first placer does not poll i-1, as it is idle.
         simulation = IsolatedPlacerSimulation()
-        first = simulation.own("first", 1)
-        simulation.run(0.1, "first")
-        second = simulation.own("second", 2)
-        second.unreachable_until["i-0"] = 9.0
-        simulation.run(2.0, "first")
-        simulation.intake.receive(
-            build.submission(job_id=JOB, step=build.step(1), left_s=9.0),
-            lambda answer: None,
-            simulation.now,
-        )
-        simulation.run(0.5, "first")
+        first, _ = self.own_twice(simulation)
+        self.start(simulation, "first", 0.5, step=build.step(1), left_s=9.0)
         self.assertTrue(simulation.server_pool.servers["i-0"].runs)
         cut_at = simulation.now
         first.placer.record_heard("session", cut_at)
@@ -227,14 +212,9 @@
         self.assertEqual(simulation.server_pool.violations, [])
 
     def test_a_kept_job_whose_client_comes_to_another_placer_of_its_zone(self):
-        # No message is lost. The other zones know of the job, but not a second
-        # placer of its own.
+        # The other zones know of the job, but not this placer.
         simulation = TwoZonesSimulation()
-        first = simulation.own("first", 1)
-        simulation.run(0.1, "first")
-        second = simulation.own("second", 2)
-        second.unreachable_until["i-0"] = 9.0
-        simulation.run(2.0, "first")
+        first, second = self.own_twice(simulation)
         job = build.submission(job_id=JOB, step=build.step(1), left_s=1.5)
         first.placer.submit(job, "session", simulation.now)
         simulation.run(1.46, "first")
