--- a/acacialine/tests/test_placerhost.py
+++ b/acacialine/tests/test_placerhost.py
@@ -85,13 +85,20 @@
         self.placer.runs.is_obeyed = False
         self.placer.owned_since = -5.0
         self.assertFalse(self.host.knows_jobs())
+        reader = self.host._dispatcher.store_reader
+        reader.removal_delay_s, reader.server_removed_at = 2.4, -9.0
+        self.host.record_list_read(4.0)
+        self.assertEqual(self.placer.obeyed_since, 0.0)
         result = orders.PollResult(1, 1000, (), ())
-        for _ in range(2):
-            self.host.handle_poll_result(self.server, result, clock.now())
         handle = self.host._dispatcher.zone_handover.record_first_answer
-        handle.assert_called_once()
+        with mock.patch.object(clock, "now", lambda: 5.0):
+            self.host.handle_poll_result(self.server, result, 5.0)
+        self.assertEqual(self.placer.obeyed_since, 5.0)
+        with mock.patch.object(clock, "now", lambda: 6.0):
+            self.host.handle_poll_result(self.server, result, 6.0)
+        self.assertEqual(self.placer.obeyed_since, 5.0)
+        handle.assert_called_once_with(self.placer, 5.0)
         self.assertTrue(self.host.knows_jobs())
-        self.assertGreater(self.placer.obeyed_since, 0.0)
 
     def test_a_server_lost_from_the_list_after_a_takeover_has_unknown_runs(
         self,
